--- /dev/null
+++ b/internal/jybackend/doc.go
@@ -0,0 +1,2 @@
+// Package jybackend keeps the connections to backend servers and this instance's view of each server.
+package jybackend
--- /dev/null
+++ b/internal/jybackend/errors.go
@@ -0,0 +1,21 @@
+package jybackend
+
+import "github.com/jackdawyard/jackdawyard/pkg/jyfault"
+
+// ErrorKind classifies the errors of this package.
+type ErrorKind string
+
+// The kinds of error.
+const (
+	ConnectFailed ErrorKind = "ConnectFailed" // nothing was sent
+	Exhausted     ErrorKind = "Exhausted"     // this instance's share of connections is in use
+	NoServer      ErrorKind = "NoServer"
+	Lost          ErrorKind = "Lost" // the request may have run
+)
+
+// Error is the error type of this package.
+type Error = jyfault.Error[ErrorKind]
+
+func newError(op string, k ErrorKind, format string, args ...any) *Error {
+	return jyfault.New(op, k, format, args...)
+}
--- /dev/null
+++ b/internal/jybackend/server.go
@@ -0,0 +1,65 @@
+package jybackend
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/jackdawyard/jackdawyard/pkg/jydetector"
+	"github.com/jackdawyard/jackdawyard/pkg/jynote"
+)
+
+// Server is this instance's view of one backend server.
+type Server struct {
+	Info     jynote.BackendServer
+	Pool     *Pool
+	inFlight atomic.Int32
+	attempts atomic.Uint64
+	failures atomic.Uint64
+	slow     atomic.Uint64
+	draining atomic.Bool
+}
+
+// Counts returns the cumulative counts of finished attempts.
+func (s *Server) Counts() jydetector.Counts {
+	// Attempts are read last and written first, so that the parts never exceed them.
+	slow, failures := s.slow.Load(), s.failures.Load()
+	return jydetector.Counts{Attempts: s.attempts.Load(), Failures: failures, Slow: slow}
+}
+
+// MarkDraining records that the server said it is leaving.
+func (s *Server) MarkDraining() bool { return !s.draining.Swap(true) }
+
+// IsDraining reports whether the server said it is leaving.
+func (s *Server) IsDraining() bool { return s.draining.Load() }
+
+// InFlight returns the requests of this instance that the server runs.
+func (s *Server) InFlight() int { return int(s.inFlight.Load()) }
+
+// Result is what an attempt says about its backend server.
+type Result string
+
+// The results of an attempt.
+const (
+	Answered Result = "Answered"
+	Failed   Result = "Failed"
+	// Neutral results say nothing: the caller cancelled, or the server shed load by its own word.
+	Neutral Result = "Neutral"
+)
+
+// Record counts a finished attempt and reports whether it was a failure.
+func (v *Service) Record(s *Server, r Result, latency time.Duration) bool {
+	switch r {
+	case Neutral:
+		return false
+	case Failed:
+		s.attempts.Add(1)
+		s.failures.Add(1)
+		return true
+	case Answered:
+		s.attempts.Add(1)
+		if v.latency.add(latency) {
+			s.slow.Add(1)
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/jybackend/service.go
@@ -0,0 +1,215 @@
+package jybackend
+
+import (
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jackdawyard/jackdawyard/pkg/jydetector"
+	"github.com/jackdawyard/jackdawyard/pkg/jyfloor"
+	"github.com/jackdawyard/jackdawyard/pkg/jynote"
+	"github.com/jackdawyard/jackdawyard/pkg/jyretry"
+	"github.com/jackdawyard/jackdawyard/pkg/jyslot"
+)
+
+// probationWeight is the share of a full load that a server on probation takes.
+const probationWeight = 0.05
+
+// Service is this instance's view of one service and its backend servers.
+type Service struct {
+	Info    jynote.Service
+	Servers []*Server // sorted by name
+	latency *latency
+	view    atomic.Pointer[[]seat]
+	mu      sync.Mutex // guards what follows
+	budget  *jyretry.Budget
+	fleet   []jydetector.Verdict
+	local   []jydetector.Verdict
+}
+
+// seat is a server with its standing; a view of seats is immutable.
+type seat struct {
+	server   *Server
+	standing jyfloor.Standing
+	since    time.Time
+	until    time.Time
+	// readmitted servers take full load in spite of their standing, to hold the floor.
+	readmitted bool
+}
+
+// TailLatency returns the 99th percentile of the service's answers as this instance sees them.
+func (v *Service) TailLatency() time.Duration { return v.latency.tailValue() }
+
+// CreditRequest lets the service's retry budget grow by one request.
+func (v *Service) CreditRequest() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.budget.Request()
+}
+
+// TakeRetry takes one retry from the service's budget and reports whether there was one.
+func (v *Service) TakeRetry() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.budget.Take()
+}
+
+// Need says what a request asks of a backend server.
+type Need struct {
+	Idempotent bool
+	Exclude    []*Server // tried already
+}
+
+// Choose picks a backend server and counts the request in flight there until Release; its error is of kind NoServer.
+func (v *Service) Choose(now time.Time, n Need) (*Server, error) {
+	seats := *v.view.Load()
+	at := func(i int) jyslot.Candidate { return seats[i].candidate(now, n) }
+	// A few tries settle the races for the last place at a server.
+	for range 3 {
+		i := jyslot.Choose(len(seats), at, rand.Uint64(), rand.Uint64())
+		if i == jyslot.None {
+			break
+		}
+		s := seats[i].server
+		if int(s.inFlight.Add(1)) <= s.Info.Slots {
+			return s, nil
+		}
+		s.inFlight.Add(-1)
+	}
+	return nil, newError("choose backend server", NoServer, "service %s", v.Info.Name)
+}
+
+// Release ends a request that Choose counted.
+func (s *Server) Release() { s.inFlight.Add(-1) }
+
+func (s seat) candidate(now time.Time, n Need) jyslot.Candidate {
+	c := jyslot.Candidate{Slots: s.server.Info.Slots, InFlight: s.server.InFlight(), Limit: s.server.Info.Slots}
+	for _, x := range n.Exclude {
+		if x == s.server {
+			return c
+		}
+	}
+	c.Weight = s.weight(now, n.Idempotent)
+	return c
+}
+
+func (s seat) weight(now time.Time, idempotent bool) float64 {
+	if s.standing == jyfloor.Draining || s.server.IsDraining() {
+		return 0
+	}
+	if s.readmitted {
+		return 1
+	}
+	switch s.standing {
+	case jyfloor.Serving:
+		return 1
+	case jyfloor.Cold:
+		return jydetector.ColdWeight(now, s.since, s.until)
+	case jyfloor.Probation:
+		if idempotent && rand.Float64() < probationWeight {
+			return 1
+		}
+	}
+	return 0
+}
+
+// SetFleetVerdicts replaces what the fleet finds of the servers.
+func (v *Service) SetFleetVerdicts(list []jydetector.Verdict) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.fleet = list
+	v.refresh()
+}
+
+// SetLocalVerdicts replaces what this instance alone finds of the servers.
+func (v *Service) SetLocalVerdicts(list []jydetector.Verdict) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.local = list
+	v.refresh()
+}
+
+// Verdicts returns what the fleet and this instance find of the servers.
+func (v *Service) Verdicts() (fleet, local []jydetector.Verdict) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.fleet, v.local
+}
+
+// refresh builds the view anew; the caller holds mu.
+func (v *Service) refresh() {
+	seats := make([]seat, 0, len(v.Servers))
+	weighed := make([]jyfloor.Server, 0, len(v.Servers))
+	for _, s := range v.Servers {
+		st, score := standingOf(s, v.fleet, v.local)
+		seats = append(seats, st)
+		weighed = append(weighed, jyfloor.Server{Slots: s.Info.Slots, Standing: st.standing, Score: score})
+	}
+	for _, i := range jyfloor.Readmit(weighed, v.Info.Floor) {
+		seats[i].readmitted = true
+	}
+	v.view.Store(&seats)
+}
+
+func standingOf(s *Server, fleet, local []jydetector.Verdict) (seat, float64) {
+	out := seat{server: s}
+	score := 0.0
+	if s.IsDraining() {
+		out.standing = jyfloor.Draining
+		return out, score
+	}
+	for _, w := range local {
+		if string(w.Server) == string(s.Info.Name) && (w.Phase == jydetector.Ejected || w.Phase == jydetector.Probation) {
+			out.standing, out.since, out.until, score = jyfloor.Avoided, w.Since, w.Until, w.Score
+			if w.Phase == jydetector.Probation {
+				out.standing = jyfloor.Probation
+			}
+		}
+	}
+	for _, w := range fleet {
+		if string(w.Server) != string(s.Info.Name) {
+			continue
+		}
+		if st := standingFor(w.Phase); st > out.standing {
+			out.standing, out.since, out.until, score = st, w.Since, w.Until, w.Score
+		}
+	}
+	return out, score
+}
+
+func standingFor(p jydetector.Phase) jyfloor.Standing {
+	switch p {
+	case jydetector.Cold:
+		return jyfloor.Cold
+	case jydetector.Probation:
+		return jyfloor.Probation
+	case jydetector.Ejected:
+		return jyfloor.Ejected
+	case jydetector.Draining:
+		return jyfloor.Draining
+	}
+	return jyfloor.Serving
+}
+
+// Capacity is what a service has in use at this instance.
+type Capacity struct {
+	UsableSlots int
+	AllSlots    int
+	Readmitted  int
+}
+
+// Capacity returns the slots that take requests at full load.
+func (v *Service) Capacity() Capacity {
+	var c Capacity
+	for _, s := range *v.view.Load() {
+		c.AllSlots += s.server.Info.Slots
+		if s.standing == jyfloor.Serving || s.readmitted {
+			c.UsableSlots += s.server.Info.Slots
+		}
+		if s.readmitted {
+			c.Readmitted++
+		}
+	}
+	return c
+}
--- /dev/null
+++ b/internal/jycommand/check.go
@@ -0,0 +1,80 @@
+package jycommand
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/jackdawyard/jackdawyard/internal/jysettings"
+	"github.com/jackdawyard/jackdawyard/pkg/jynote"
+)
+
+func checkCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "check",
+		Usage: "validate files offline, as the fleet would; exit code 1 if there is a fault",
+		Commands: []*cli.Command{
+			{
+				Name: "settings", Usage: "check settings files", ArgsUsage: "FILE...",
+				Action: func(_ context.Context, c *cli.Command) error { return checkSettings(c.Root().Writer, c.Args().Slice()) },
+			},
+			{
+				Name: "note", Usage: "check release notes, each applied after the one before", ArgsUsage: "FILE...",
+				Action: func(_ context.Context, c *cli.Command) error { return checkNotes(c.Root().Writer, c.Args().Slice()) },
+			},
+		},
+	}
+}
+
+func checkSettings(w io.Writer, files []string) error {
+	faulty := 0
+	for _, file := range files {
+		_, faults, err := jysettings.Load(file)
+		if err != nil {
+			return err
+		}
+		for _, f := range faults {
+			fmt.Fprintf(w, "%s: %s\n", file, f)
+		}
+		faulty += len(faults)
+	}
+	return verdict(w, "settings", len(files), faulty)
+}
+
+func checkNotes(w io.Writer, files []string) error {
+	faulty := 0
+	var state jynote.State
+	for _, file := range files {
+		raw, err := os.ReadFile(file)
+		if err != nil {
+			return err
+		}
+		note, err := jynote.Parse(raw)
+		if err != nil {
+			fmt.Fprintf(w, "%s: %v\n", file, err)
+			faulty++
+			continue
+		}
+		next, faults := jynote.Apply(state, note, raw)
+		for _, f := range faults {
+			fmt.Fprintf(w, "%s: %s\n", file, f)
+		}
+		faulty += len(faults)
+		state = next
+	}
+	return verdict(w, "note", len(files), faulty)
+}
+
+func verdict(w io.Writer, kind string, files, faulty int) error {
+	if files == 0 {
+		return fmt.Errorf("check %s: name at least one file", kind)
+	}
+	if faulty > 0 {
+		return fmt.Errorf("check %s: %d faults", kind, faulty)
+	}
+	fmt.Fprintf(w, "%d files without fault\n", files)
+	return nil
+}
--- /dev/null
+++ b/internal/jycommand/doc.go
@@ -0,0 +1,2 @@
+// Package jycommand is the command line of jackdawyard.
+package jycommand
--- /dev/null
+++ b/internal/jycommand/main.go
@@ -0,0 +1,87 @@
+package jycommand
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+	"k8s.io/klog/v2"
+)
+
+// Version is the version of this program.
+const Version = "0.1.0"
+
+// Exit codes of the program.
+const (
+	exitFailed = 1
+)
+
+// Main runs the program and returns its exit code.
+func Main(args []string) int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	defer klog.Flush()
+	if err := root().Run(ctx, args); err != nil {
+		fmt.Fprintln(os.Stderr, "jackdawyard:", err)
+		return exitFailed
+	}
+	return 0
+}
+
+func root() *cli.Command {
+	return &cli.Command{
+		Name:    "jackdawyard",
+		Usage:   "a proxy fleet for backend servers that fail partially and quietly",
+		Version: Version,
+		Flags: []cli.Flag{
+			&cli.BoolFlag{Name: "quiet", Usage: "log alarms only"},
+		},
+		Before: func(ctx context.Context, c *cli.Command) (context.Context, error) {
+			return ctx, setUpLog(c.Bool("quiet"))
+		},
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+		Commands: []*cli.Command{
+			serveCommand(), checkCommand(), statusCommand(), reportCommand(), standinCommand(),
+			loadCommand(), demoCommand(), documentCommand(), versionCommand(),
+		},
+	}
+}
+
+func setUpLog(quiet bool) error {
+	flags := flag.NewFlagSet("klog", flag.ContinueOnError)
+	klog.InitFlags(flags)
+	if !quiet {
+		return nil
+	}
+	if err := flags.Set("logtostderr", "false"); err != nil {
+		return err
+	}
+	if err := flags.Set("alsologtostderr", "false"); err != nil {
+		return err
+	}
+	if err := flags.Set("stderrthreshold", "ERROR"); err != nil {
+		return err
+	}
+	klog.SetOutputBySeverity("INFO", discard{})
+	return nil
+}
+
+type discard struct{}
+
+// Write drops the bytes.
+func (discard) Write(b []byte) (int, error) { return len(b), nil }
+
+func versionCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "version",
+		Usage: "print the version",
+		Action: func(_ context.Context, c *cli.Command) error {
+			fmt.Fprintln(c.Root().Writer, Version)
+			return nil
+		},
+	}
+}
--- /dev/null
+++ b/internal/jycommand/serve.go
@@ -0,0 +1,35 @@
+package jycommand
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/jackdawyard/jackdawyard/internal/jynode"
+	"github.com/jackdawyard/jackdawyard/internal/jysettings"
+)
+
+func serveCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "serve",
+		Usage: "run one entry instance until SIGTERM, then shut down gracefully",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Usage: "INI settings `FILE`", Required: true},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			settings, faults, err := jysettings.Load(c.String("settings"))
+			if err != nil {
+				return err
+			}
+			if len(faults) > 0 {
+				return fmt.Errorf("%d faults in %s; the first is %s", len(faults), c.String("settings"), faults[0])
+			}
+			node, err := jynode.New(settings)
+			if err != nil {
+				return err
+			}
+			return node.Run(ctx)
+		},
+	}
+}
--- /dev/null
+++ b/internal/jydemo/doc.go
@@ -0,0 +1,2 @@
+// Package jydemo shows the whole path in one process.
+package jydemo
--- /dev/null
+++ b/internal/jydemo/errors.go
@@ -0,0 +1,20 @@
+package jydemo
+
+import "github.com/jackdawyard/jackdawyard/pkg/jyfault"
+
+// ErrorKind classifies the errors of this package.
+type ErrorKind string
+
+// The kinds of error.
+const (
+	BadSettings ErrorKind = "BadSettings"
+	TimedOut    ErrorKind = "TimedOut"
+	NoPort      ErrorKind = "NoPort"
+)
+
+// Error is the error type of this package.
+type Error = jyfault.Error[ErrorKind]
+
+func newError(op string, k ErrorKind, format string, args ...any) *Error {
+	return jyfault.New(op, k, format, args...)
+}
--- /dev/null
+++ b/internal/jyevidence/evidence.go
@@ -0,0 +1,148 @@
+package jyevidence
+
+import (
+	"context"
+	"time"
+
+	"github.com/jackdawyard/jackdawyard/internal/jybackend"
+	"github.com/jackdawyard/jackdawyard/internal/jypeer"
+	"github.com/jackdawyard/jackdawyard/internal/jyring"
+	"github.com/jackdawyard/jackdawyard/pkg/jydetector"
+	"github.com/jackdawyard/jackdawyard/pkg/jymember"
+	"github.com/jackdawyard/jackdawyard/pkg/jynote"
+)
+
+// Fleet is what is asked of the membership.
+type Fleet interface {
+	Self() jymember.Member
+	Members() []jymember.Member
+	Ranked(key string, count int, only func(jymember.Member) bool) []jymember.Member
+}
+
+// Config sets up the evidence duties.
+type Config struct {
+	Directory *jybackend.Directory
+	Clients   *jypeer.Clients
+	Fleet     Fleet
+	Interval  time.Duration
+	Timeout   time.Duration
+}
+
+// ringSize bounds the services that wait to be reported; each is reported with all that is new anyway.
+const ringSize = 1024
+
+// Evidence is the reporter of this instance and the pool of those that report to it.
+type Evidence struct {
+	config  Config
+	urgent  *jyring.Ring[jynote.ServiceName]
+	sent    map[sentKey]jydetector.Counts
+	local   map[jynote.ServiceName]*jydetector.Detector
+	pool    *pool
+	changed *jyring.Ring[jynote.ServiceName] // services whose pooled verdicts changed
+}
+
+type sentKey struct {
+	service jynote.ServiceName
+	server  jydetector.ServerName
+}
+
+// New returns evidence duties that have seen nothing.
+func New(c Config) *Evidence {
+	e := &Evidence{
+		config: c, urgent: jyring.New[jynote.ServiceName](ringSize), changed: jyring.New[jynote.ServiceName](ringSize),
+		sent: map[sentKey]jydetector.Counts{}, local: map[jynote.ServiceName]*jydetector.Detector{},
+	}
+	e.pool = newPool(c.Directory, e.changed.Push)
+	return e
+}
+
+// OnEvidence makes the next report of the service an early one.
+func (e *Evidence) OnEvidence(s jynote.ServiceName) { e.urgent.Push(s) }
+
+// urgentFraction is the part of the report interval after which failures are reported.
+const urgentFraction = 10
+
+// pooledBy is the number of instances that a service's reports may go to: the first that answers takes them.
+const pooledBy = 2
+
+// Run reports until ctx ends.
+func (e *Evidence) Run(ctx context.Context) error {
+	ticker := time.NewTicker(e.config.Interval / urgentFraction)
+	defer ticker.Stop()
+	for n := 0; ; n++ {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		services := map[jynote.ServiceName]bool{}
+		for _, s := range e.urgent.Drain(nil) {
+			services[s] = true
+		}
+		e.report(ctx, e.config.Directory.Snapshot(), services, n%urgentFraction == 0)
+		e.tell(ctx)
+	}
+}
+
+// report sends the new counts of the named services, or of all, to the instances that pool them.
+func (e *Evidence) report(ctx context.Context, snapshot *jybackend.Snapshot, urgent map[jynote.ServiceName]bool, all bool) {
+	now := time.Now()
+	batches := map[jymember.Name]*batch{}
+	for _, v := range snapshot.Services() {
+		if !all && !urgent[v.Info.Name] {
+			continue
+		}
+		totals := e.totals(v)
+		e.judgeLocally(now, v, totals)
+		if len(totals) == 0 {
+			continue
+		}
+		e.assign(batches, v.Info.Name, totals)
+	}
+	for _, b := range batches {
+		go e.send(ctx, b)
+	}
+}
+
+// totals returns the counts that changed since they were last sent.
+func (e *Evidence) totals(v *jybackend.Service) []jydetector.Totals {
+	var out []jydetector.Totals
+	for _, s := range v.Servers {
+		key := sentKey{v.Info.Name, jydetector.ServerName(s.Info.Name)}
+		now, base := s.Counts(), e.sent[key]
+		if now.Attempts < base.Attempts {
+			base = jydetector.Counts{} // the server was replaced under its name
+		}
+		if now == base && !s.IsDraining() {
+			continue
+		}
+		out = append(out, jydetector.Totals{Server: key.server, Base: base, Now: now, Draining: s.IsDraining()})
+		e.sent[key] = now
+	}
+	return out
+}
+
+// judgeLocally finds servers that only this instance cannot use; nobody else is told.
+func (e *Evidence) judgeLocally(now time.Time, v *jybackend.Service, totals []jydetector.Totals) {
+	d := e.local[v.Info.Name]
+	if d == nil {
+		d = jydetector.New(configOf(v.Info))
+		e.local[v.Info.Name] = d
+	}
+	d.Configure(configOf(v.Info))
+	d.SetServers(now, serversOf(v))
+	d.Observe(now, jydetector.Report{Reporter: "self", Group: "self", Boot: 1, Totals: totals})
+	v.SetLocalVerdicts(d.Verdicts())
+}
+
+func configOf(s jynote.Service) jydetector.Config {
+	return jydetector.Config{ServerDaysPerFalseEjection: s.ServerDaysPerFalseEjection, FloorSlots: s.Floor}
+}
+
+func serversOf(v *jybackend.Service) []jydetector.Server {
+	out := make([]jydetector.Server, 0, len(v.Servers))
+	for _, s := range v.Servers {
+		out = append(out, jydetector.Server{Name: jydetector.ServerName(s.Info.Name), Slots: s.Info.Slots})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/jyfleet/fleet.go
@@ -0,0 +1,296 @@
+package jyfleet
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/jackdawyard/jackdawyard/internal/jylog"
+	"github.com/jackdawyard/jackdawyard/internal/jypeer"
+	"github.com/jackdawyard/jackdawyard/internal/jywire"
+	"github.com/jackdawyard/jackdawyard/pkg/jymember"
+	"github.com/jackdawyard/jackdawyard/pkg/jyrendezvous"
+)
+
+// Config sets up a Fleet.
+type Config struct {
+	Self     jymember.Member
+	Interval time.Duration
+	Timeout  time.Duration
+	// Memory is how long the successions of request ids are kept.
+	Memory  time.Duration
+	Clients *jypeer.Clients
+	// Mark returns the note in force here.
+	Mark func() jypeer.Mark
+	// OnMark is called with each mark that a peer shows.
+	OnMark func(address string, m jypeer.Mark)
+}
+
+const (
+	suspectIntervals = 3
+	deadMemory       = time.Minute
+	helpers          = 3
+	updatesPerCall   = 12
+	// pauseFactor is how many intervals late a tick must be to count as a pause of the process.
+	pauseFactor = 3
+	// askEverything is the number of first heartbeats that ask for all that the peer knows.
+	askEverything = 3
+)
+
+// Fleet sends and answers heartbeats.
+type Fleet struct {
+	config Config
+	mu     sync.Mutex
+	table  *jymember.Table
+	asked  int
+}
+
+// New returns a fleet of one.
+func New(c Config) *Fleet {
+	return &Fleet{config: c, table: jymember.NewTable(jymember.Config{
+		SuspectTime:      suspectIntervals * c.Interval,
+		DeadMemory:       deadMemory,
+		SuccessionMemory: c.Memory,
+		Helpers:          helpers,
+		UpdatesPerCall:   updatesPerCall,
+	}, c.Self)}
+}
+
+// Run sends heartbeats until ctx ends.
+func (f *Fleet) Run(ctx context.Context) error {
+	ticker := time.NewTicker(f.config.Interval)
+	defer ticker.Stop()
+	last := time.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		now := time.Now()
+		f.tick(now, now.Sub(last))
+		last = now
+		f.probe(ctx)
+	}
+}
+
+func (f *Fleet) tick(now time.Time, passed time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if passed > pauseFactor*f.config.Interval {
+		jylog.PauseDetected.Log(passed.Milliseconds())
+		f.table.Woke(now)
+		return
+	}
+	logEvents(f.table.Expire(now))
+}
+
+func (f *Fleet) probe(ctx context.Context) {
+	f.mu.Lock()
+	p, ok := f.table.NextProbe(rand.Shuffle)
+	f.mu.Unlock()
+	if !ok || p.Target.Address == "" {
+		return
+	}
+	go func() {
+		if f.beat(ctx, p.Target.Address) || f.beatVia(ctx, p) {
+			return
+		}
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		logEvents(f.table.ProbeFailed(time.Now(), p.Target))
+	}()
+}
+
+// beat sends one heartbeat and reports whether it was answered.
+func (f *Fleet) beat(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, f.config.Timeout)
+	defer cancel()
+	r, err := f.config.Clients.At(address).Heartbeat(ctx, connect.NewRequest(f.request()))
+	if err != nil {
+		return false
+	}
+	f.learn(r.Msg.GetSender(), r.Msg.GetUpdates(), r.Msg.GetNote())
+	return true
+}
+
+func (f *Fleet) request() *jywire.HeartbeatRequest {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.asked++
+	return &jywire.HeartbeatRequest{
+		Sender:          jypeer.MemberToWire(f.table.Self()),
+		Updates:         jypeer.UpdatesToWire(f.table.Updates()),
+		Note:            jypeer.MarkToWire(f.config.Mark()),
+		WantsEverything: f.asked <= askEverything,
+	}
+}
+
+func (f *Fleet) learn(sender *jywire.Member, updates []*jywire.Update, note *jywire.NoteMark) {
+	m := jypeer.MemberFromWire(sender)
+	f.mu.Lock()
+	now := time.Now()
+	logEvents(f.table.Merge(now, jypeer.UpdatesFromWire(updates)))
+	logEvents(f.table.Answered(now, m))
+	f.mu.Unlock()
+	f.config.OnMark(m.Address, jypeer.MarkFromWire(note))
+}
+
+// beatVia asks the helpers for a heartbeat to the target and reports whether one of them got an answer.
+func (f *Fleet) beatVia(ctx context.Context, p jymember.Probe) bool {
+	ctx, cancel := context.WithTimeout(ctx, 2*f.config.Timeout)
+	defer cancel()
+	answers := make(chan *jywire.Member, len(p.Helpers))
+	for _, h := range p.Helpers {
+		go func() {
+			r, err := f.config.Clients.At(h.Address).HeartbeatVia(ctx, connect.NewRequest(&jywire.HeartbeatViaRequest{TargetAddress: p.Target.Address}))
+			if err != nil {
+				answers <- nil
+				return
+			}
+			answers <- r.Msg.GetTarget()
+		}()
+	}
+	for range p.Helpers {
+		if m := <-answers; m != nil {
+			f.mu.Lock()
+			logEvents(f.table.Answered(time.Now(), jypeer.MemberFromWire(m)))
+			f.mu.Unlock()
+			return true
+		}
+	}
+	return false
+}
+
+// Heartbeat answers a peer's heartbeat.
+func (f *Fleet) Heartbeat(_ context.Context, r *connect.Request[jywire.HeartbeatRequest]) (*connect.Response[jywire.HeartbeatResponse], error) {
+	f.learn(r.Msg.GetSender(), r.Msg.GetUpdates(), r.Msg.GetNote())
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	updates := f.table.Updates
+	if r.Msg.GetWantsEverything() {
+		updates = f.table.Everything
+	}
+	return connect.NewResponse(&jywire.HeartbeatResponse{
+		Sender:  jypeer.MemberToWire(f.table.Self()),
+		Updates: jypeer.UpdatesToWire(updates()),
+		Note:    jypeer.MarkToWire(f.config.Mark()),
+	}), nil
+}
+
+// HeartbeatVia sends a heartbeat for a peer that cannot reach the target.
+func (f *Fleet) HeartbeatVia(ctx context.Context, r *connect.Request[jywire.HeartbeatViaRequest]) (*connect.Response[jywire.HeartbeatViaResponse], error) {
+	ctx, cancel := context.WithTimeout(ctx, f.config.Timeout)
+	defer cancel()
+	answer, err := f.config.Clients.At(r.Msg.GetTargetAddress()).Heartbeat(ctx, connect.NewRequest(f.request()))
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	f.learn(answer.Msg.GetSender(), answer.Msg.GetUpdates(), answer.Msg.GetNote())
+	return connect.NewResponse(&jywire.HeartbeatViaResponse{Target: answer.Msg.GetSender()}), nil
+}
+
+// SyncList takes the platform's list of instances.
+func (f *Fleet) SyncList(list []jymember.Seed) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	logEvents(f.table.SyncList(time.Now(), list))
+}
+
+// Working returns the instances that are alive or suspected, this one included, sorted by name.
+func (f *Fleet) Working() []jymember.Member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.table.Working()
+}
+
+// Members returns all other instances that are known, sorted by name.
+func (f *Fleet) Members() []jymember.Member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.table.Members()
+}
+
+// Self returns this instance.
+func (f *Fleet) Self() jymember.Member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.table.Self()
+}
+
+// Holder returns the instance that holds the duties of a run now.
+func (f *Fleet) Holder(r jymember.Run) (jymember.Member, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.table.Holder(r)
+}
+
+// AddSuccession records that a run handed its duties over.
+func (f *Fleet) AddSuccession(s jymember.Succession) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.table.AddSuccession(time.Now(), s)
+}
+
+// Others returns up to count other working instances in random order.
+func (f *Fleet) Others(count int) []jymember.Member {
+	working := f.Working()
+	self := f.config.Self.Name
+	rand.Shuffle(len(working), func(i, j int) { working[i], working[j] = working[j], working[i] })
+	out := make([]jymember.Member, 0, count)
+	for _, m := range working {
+		if m.Name != self && m.Address != "" && len(out) < count {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// Ranked returns up to count working instances that a key falls to, in order; it is the same wherever the view is.
+func (f *Fleet) Ranked(key string, count int, only func(jymember.Member) bool) []jymember.Member {
+	byName := map[jymember.Name]jymember.Member{}
+	var names []jymember.Name
+	for _, m := range f.Working() {
+		if only != nil && !only(m) {
+			continue
+		}
+		byName[m.Name] = m
+		names = append(names, m.Name)
+	}
+	out := make([]jymember.Member, 0, count)
+	for _, n := range jyrendezvous.Top(key, names, count) {
+		out = append(out, byName[n])
+	}
+	return out
+}
+
+// farewells is the number of instances that are told directly when this one leaves.
+const farewells = 3
+
+// Leave tells the fleet that this instance shuts down, and who takes its duties over.
+func (f *Fleet) Leave(ctx context.Context, successor *jymember.Run) {
+	f.mu.Lock()
+	f.table.Leave(time.Now(), successor)
+	f.mu.Unlock()
+	for _, m := range f.Others(farewells) {
+		f.beat(ctx, m.Address)
+	}
+}
+
+func logEvents(events []jymember.Event) {
+	for _, e := range events {
+		switch {
+		case e.New:
+			jylog.MemberJoined.Log(e.Member.Name, e.Member.Boot)
+		case e.Member.Status == jymember.Suspect:
+			jylog.MemberSuspect.Log(e.Member.Name)
+		case e.Member.Status == jymember.Dead:
+			jylog.MemberDead.Log(e.Member.Name)
+		case e.Member.Status == jymember.Left:
+			jylog.MemberLeft.Log(e.Member.Name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/jykernel/errors.go
@@ -0,0 +1,21 @@
+package jykernel
+
+import "github.com/jackdawyard/jackdawyard/pkg/jyfault"
+
+// ErrorKind classifies the errors of this package.
+type ErrorKind string
+
+// The kinds of error.
+const (
+	Duplicate ErrorKind = "Duplicate"
+	Missing   ErrorKind = "Missing"
+	WrongType ErrorKind = "WrongType"
+	Failed    ErrorKind = "Failed"
+)
+
+// Error is the error type of this package.
+type Error = jyfault.Error[ErrorKind]
+
+func newError(op string, k ErrorKind, format string, args ...any) *Error {
+	return jyfault.New(op, k, format, args...)
+}
--- /dev/null
+++ b/internal/jykernel/kernel.go
@@ -0,0 +1,73 @@
+package jykernel
+
+import (
+	"context"
+	"errors"
+
+	"github.com/oklog/run"
+)
+
+type entry struct {
+	name    Name
+	service Service
+}
+
+// Kernel holds the named services of a process; register all before Run.
+type Kernel struct {
+	entries []entry
+}
+
+// New returns a kernel without services.
+func New() *Kernel { return &Kernel{} }
+
+// Register adds a service; its errors are of kind Duplicate.
+func (k *Kernel) Register(name Name, s Service) error {
+	for _, e := range k.entries {
+		if e.name == name {
+			return newError("register service", Duplicate, "%s", name)
+		}
+	}
+	k.entries = append(k.entries, entry{name: name, service: s})
+	return nil
+}
+
+// Find returns the service of that name as type T; its errors are of kind Missing or WrongType.
+func Find[T any](k *Kernel, name Name) (T, error) {
+	var zero T
+	for _, e := range k.entries {
+		if e.name != name {
+			continue
+		}
+		s, ok := e.service.(T)
+		if !ok {
+			return zero, newError("find service", WrongType, "%s", name)
+		}
+		return s, nil
+	}
+	return zero, newError("find service", Missing, "%s", name)
+}
+
+// Run runs all services until ctx ends or one of them returns, then stops the others and waits for them.
+func (k *Kernel) Run(ctx context.Context) error {
+	var g run.Group
+	for _, e := range k.entries {
+		child, cancel := context.WithCancel(ctx)
+		g.Add(func() error {
+			return wrap(e.name, e.service.Run(child))
+		}, func(error) { cancel() })
+	}
+	// An actor that only waits lets a signal end services that do not watch the parent themselves.
+	waiting, stop := context.WithCancel(ctx)
+	g.Add(func() error {
+		<-waiting.Done()
+		return nil
+	}, func(error) { stop() })
+	return g.Run()
+}
+
+func wrap(name Name, err error) error {
+	if err == nil || errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return newError("run service", Failed, "%s: %w", name, err)
+}
--- /dev/null
+++ b/internal/jyload/text.go
@@ -0,0 +1,25 @@
+package jyload
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"time"
+)
+
+// WriteText writes the result as lines for people.
+func (r Result) WriteText(w io.Writer) {
+	fmt.Fprintf(w, "Sent            %d in %.1f s, %d unsent, %d resent, %d broken\n", r.Sent, r.Seconds, r.Unsent, r.Resent, r.Broken)
+	for _, o := range slices.Sorted(maps.Keys(r.Outcomes)) {
+		fmt.Fprintf(w, "  %-13s %d\n", o, r.Outcomes[o])
+	}
+	for _, o := range slices.Sorted(maps.Keys(r.Reasons)) {
+		fmt.Fprintf(w, "    %-20s %d\n", o, r.Reasons[o])
+	}
+	fmt.Fprintf(w, "Server errors   %d\n", r.ServerErr)
+	fmt.Fprintf(w, "Latency         p50 %s  p99 %s  p99.9 %s  max %s\n",
+		r.P50.Round(time.Microsecond), r.P99.Round(time.Microsecond), r.P999.Round(time.Microsecond), r.Max.Round(time.Microsecond))
+	fmt.Fprintf(w, "Foreign         %d\nTruncated       %d\n", r.Foreign, r.Truncated)
+	fmt.Fprintf(w, "Twice           %d\nRanAfterNotRun  %d\nLostWork        %d\nUnknownNotRun   %d\n", r.Twice, r.RanAfterNotRun, r.LostWork, r.UnknownNotRun)
+}
--- /dev/null
+++ b/internal/jylog/catalogue.go
@@ -0,0 +1,49 @@
+package jylog
+
+var catalogue []Event
+
+func define(number int, s Severity, message, advice string, fields ...string) Event {
+	e := Event{Number: number, Severity: s, Message: message, Advice: advice, Fields: fields}
+	catalogue = append(catalogue, e)
+	return e
+}
+
+// Catalogue returns all events in the order of their numbers.
+func Catalogue() []Event { return catalogue }
+
+// The events of an instance.
+var (
+	InstanceStarted  = define(100, Info, "instance started", "None.", "Instance", "Boot", "CallerAddress", "PeerAddress")
+	InstanceReady    = define(101, Info, "instance ready for callers", "None.", "Number")
+	InstanceDraining = define(102, Info, "instance draining", "None; it ends when its requests have ended.", "InProgress")
+	InstanceStopped  = define(103, Info, "instance stopped", "None.", "CutOff")
+	PauseDetected    = define(104, Alarm, "process was paused", "Look for an overloaded or frozen machine.", "PauseMilliseconds")
+	ServiceFailed    = define(105, Alarm, "service failed", "Read the cause; the instance stops.", "Cause")
+
+	NoteApplied         = define(200, Info, "release note in force", "None.", "Number", "Digest", "Source")
+	NoteRefused         = define(201, Alarm, "release note refused", "Correct the content and publish it under the next number.", "Number", "Cause")
+	NoteConflict        = define(202, Alarm, "release note published twice with different content", "Publish a base note under the next number.", "Number", "Cause")
+	NoteWaiting         = define(203, Info, "release note waits for a lower number", "Publish the missing number.", "Number", "InForce")
+	PlatformUnreachable = define(204, Alarm, "configuration service cannot be read", "Restore it; the fleet goes on with what is in force.", "Cause")
+	PlatformReachable   = define(205, Info, "configuration service can be read again", "None.")
+	PeerDisagrees       = define(206, Alarm, "peer holds other content under the same number", "Publish a base note under the next number.", "Peer", "Number", "Digest", "PeerDigest")
+
+	ServerEjected   = define(300, Alarm, "backend server ejected", "Look at the backend server; it is tried again by itself.", "Service", "Server", "Cause", "Score")
+	ServerProbation = define(301, Info, "backend server on probation", "None.", "Service", "Server")
+	ServerReturned  = define(302, Info, "backend server returned", "None.", "Service", "Server")
+	FloorHeld       = define(303, Alarm, "ejection withheld at the floor", "Add capacity or mend the named backend server.", "Service", "Server", "Floor")
+	ServiceFault    = define(304, Alarm, "service fails as a whole; nobody is ejected", "Look at what the service's backend servers share.", "Service", "Server")
+	ServerDraining  = define(305, Info, "backend server drains", "None.", "Service", "Server")
+	ConnectionQuiet = define(306, Info, "silent connection dropped", "Look for a device that drops idle flows if there are many.", "Server")
+	RequestBlocked  = define(307, Alarm, "request blocked: it ended backend servers", "Look at the request's content.", "Fingerprint", "Servers")
+
+	MemberJoined  = define(400, Info, "instance joined", "None.", "Instance", "Boot")
+	MemberSuspect = define(401, Info, "instance suspected", "None unless it is followed by 402.", "Instance")
+	MemberDead    = define(402, Alarm, "instance lost", "Check that the platform replaces it.", "Instance")
+	MemberLeft    = define(403, Info, "instance left", "None.", "Instance")
+	PeerRefused   = define(404, Alarm, "peer call refused: wrong key", "Give all instances the same SharedKey.", "Remote")
+
+	HandOverDone   = define(500, Info, "request ids handed over", "None.", "Successor", "Records")
+	HandOverFailed = define(501, Alarm, "request ids not handed over", "Resends of the last minutes are answered Unknown.", "Cause")
+	HandOverTaken  = define(502, Info, "request ids taken over", "None.", "From", "Records")
+)
--- /dev/null
+++ b/internal/jymetric/doc.go
@@ -0,0 +1,2 @@
+// Package jymetric counts what happens in tally scopes and shows it in the Prometheus format.
+package jymetric
--- /dev/null
+++ b/internal/jynode/caller_server.go
@@ -0,0 +1,56 @@
+package jynode
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/jackdawyard/jackdawyard/internal/jyproxy"
+)
+
+const (
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 2 * time.Minute
+)
+
+// callerServer serves callers over HTTP/1.1 and h2c.
+type callerServer struct {
+	listener net.Listener
+	http     *http.Server
+}
+
+func newCallerServer(address string, p *jyproxy.Proxy) (*callerServer, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, newError("listen for callers", NoAddress, "%w", err)
+	}
+	e := echo.New()
+	e.HideBanner, e.HidePort = true, true
+	e.Any("/*", echo.WrapHandler(p))
+	e.RouteNotFound("/*", echo.WrapHandler(p))
+	protocols := &http.Protocols{}
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	return &callerServer{listener: listener, http: &http.Server{
+		Handler: e, Protocols: protocols, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+	}}, nil
+}
+
+// Run serves until ctx ends; shutDown ends the requests in progress first.
+func (c *callerServer) Run(ctx context.Context) error {
+	failed := make(chan error, 1)
+	go func() { failed <- c.http.Serve(c.listener) }()
+	select {
+	case <-ctx.Done():
+		return c.http.Close()
+	case err := <-failed:
+		if err == http.ErrServerClosed {
+			<-ctx.Done()
+			return nil
+		}
+		return newError("serve callers", NoAddress, "%w", err)
+	}
+}
--- /dev/null
+++ b/internal/jynode/node.go
@@ -0,0 +1,208 @@
+package jynode
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"time"
+
+	"github.com/jackdawyard/jackdawyard/internal/jybackend"
+	"github.com/jackdawyard/jackdawyard/internal/jyevidence"
+	"github.com/jackdawyard/jackdawyard/internal/jyfleet"
+	"github.com/jackdawyard/jackdawyard/internal/jykernel"
+	"github.com/jackdawyard/jackdawyard/internal/jyledger"
+	"github.com/jackdawyard/jackdawyard/internal/jylog"
+	"github.com/jackdawyard/jackdawyard/internal/jymetric"
+	"github.com/jackdawyard/jackdawyard/internal/jypeer"
+	"github.com/jackdawyard/jackdawyard/internal/jyplatform"
+	"github.com/jackdawyard/jackdawyard/internal/jyproxy"
+	"github.com/jackdawyard/jackdawyard/internal/jyrelay"
+	"github.com/jackdawyard/jackdawyard/internal/jyrelease"
+	"github.com/jackdawyard/jackdawyard/internal/jyreport"
+	"github.com/jackdawyard/jackdawyard/internal/jysettings"
+	"github.com/jackdawyard/jackdawyard/pkg/jydedup"
+	"github.com/jackdawyard/jackdawyard/pkg/jylimit"
+	"github.com/jackdawyard/jackdawyard/pkg/jymember"
+	"github.com/jackdawyard/jackdawyard/pkg/jynote"
+)
+
+// The names of the services of an instance.
+const (
+	ServicePeers     jykernel.Name = "Peers"
+	ServiceFleet     jykernel.Name = "Fleet"
+	ServiceRelease   jykernel.Name = "Release"
+	ServiceInstances jykernel.Name = "InstanceList"
+	ServiceEvidence  jykernel.Name = "Evidence"
+	ServiceOperators jykernel.Name = "Operators"
+	ServiceCallers   jykernel.Name = "Callers"
+)
+
+const (
+	secretBytes = 32
+	maxIdle     = 30 * time.Second
+	// maxCallers bounds the callers whose rate is remembered: all accounts of the largest fleet, twice over.
+	maxCallers = 54_000
+)
+
+// Node is one entry instance.
+type Node struct {
+	settings  jysettings.Settings
+	boot      jymember.Boot
+	kernel    *jykernel.Kernel
+	directory *jybackend.Directory
+	fleet     *jyfleet.Fleet
+	release   *jyrelease.Release
+	ledger    *jyledger.Ledger
+	relay     *jyrelay.Relay
+	block     *jyrelay.Block
+	evidence  *jyevidence.Evidence
+	proxy     *jyproxy.Proxy
+	metrics   *jymetric.Metrics
+	burn      *jyreport.Burn
+	callers   *callerServer
+	draining  chan struct{} // closed when the instance begins to leave
+}
+
+// New puts an instance together and opens its addresses.
+func New(s jysettings.Settings) (*Node, error) {
+	n := &Node{
+		settings: s,
+		boot:     jymember.Boot(time.Now().UnixMilli()),
+		kernel:   jykernel.New(),
+		metrics:  jymetric.New(),
+		draining: make(chan struct{}),
+	}
+	credentials, err := jypeer.LoadCredentials(s)
+	if err != nil {
+		return nil, err
+	}
+	if err := n.makeLedger(); err != nil {
+		return nil, err
+	}
+	clients := jypeer.NewClients(credentials)
+	n.directory = jybackend.NewDirectory(jybackend.Config{
+		ConnectTimeout: s.ConnectTimeout, MaxIdle: maxIdle, RetryBudgetShare: s.RetryBudgetShare,
+		ShareConnections: n.shareConnections,
+	})
+	n.makeFleet(clients)
+	n.makeProxy(clients)
+	return n, n.register(credentials)
+}
+
+func (n *Node) makeLedger() error {
+	secret := make([]byte, secretBytes)
+	if _, err := rand.Read(secret); err != nil {
+		return newError("make instance", NoRandomness, "%w", err)
+	}
+	n.ledger = jyledger.New(jydedup.Config{
+		Self:           jydedup.Issuer{Instance: jydedup.InstanceName(n.settings.Name), Boot: jydedup.Boot(n.boot)},
+		Secret:         secret,
+		Boot:           time.Now(),
+		Lifetime:       n.settings.RequestIDLifetime,
+		Retention:      n.settings.RequestIDRetention,
+		MaxRecords:     n.settings.RequestIDs,
+		MaxReplayBytes: int(n.settings.MaxReplayBytes),
+	})
+	return nil
+}
+
+func (n *Node) makeFleet(clients *jypeer.Clients) {
+	s := n.settings
+	n.release = jyrelease.New(jyrelease.Config{
+		Platform: jyplatform.NewClient(s.ConfigurationAddress), Clients: clients,
+		WatchWait: s.WatchWait, PollInterval: s.PollInterval, PeerTimeout: s.PeerTimeout, WatchersPerCentre: s.WatchersPerCentre,
+		OnState: n.apply,
+	})
+	n.fleet = jyfleet.New(jyfleet.Config{
+		Self: jymember.Member{
+			Name: jymember.Name(s.Name), Boot: n.boot, Address: s.PeerAddress, DataCentre: s.DataCentre, Region: s.Region,
+		},
+		Interval: s.HeartbeatInterval, Timeout: s.PeerTimeout, Memory: s.RequestIDLifetime + s.RequestIDRetention,
+		Clients: clients, Mark: n.release.Mark, OnMark: n.release.OnMark,
+	})
+	n.release.SetFleet(n.fleet)
+	n.evidence = jyevidence.New(jyevidence.Config{
+		Directory: n.directory, Clients: clients, Fleet: n.fleet, Interval: s.ReportInterval, Timeout: s.PeerTimeout,
+	})
+}
+
+func (n *Node) makeProxy(clients *jypeer.Clients) {
+	s := n.settings
+	n.burn = jyreport.NewBurn(n.directory, n.metrics)
+	n.relay = jyrelay.New(jyrelay.Config{Clients: clients, Fleet: n.fleet, Ledger: n.ledger, Timeout: s.PeerTimeout})
+	others := func() []jymember.Member { return n.fleet.Others(maxFleet) }
+	n.block = jyrelay.NewBlock(clients, others, s.PeerTimeout)
+	n.proxy = jyproxy.New(jyproxy.Config{
+		Directory: n.directory,
+		Forwarder: jyproxy.NewForwarder(jyproxy.ForwarderConfig{
+			IdleProofOfLife: s.IdleProofOfLife, SilentConnectionLag: s.SilentConnectionLag,
+			OnEvidence: n.evidence.OnEvidence, Block: n.block,
+		}),
+		Ledger:         n.ledger,
+		Relayer:        n.relay,
+		Recorder:       n.burn,
+		Limits:         jyproxy.NewLimits(jylimit.Config{Rate: s.CallerRate, Burst: s.CallerBurst, Concurrency: s.CallerConcurrency, MaxCallers: maxCallers}),
+		CallerHeader:   s.CallerHeader,
+		MaxConcurrent:  s.MaxConcurrent,
+		MaxAnswerBytes: s.MaxAnswerBytes,
+	})
+	n.relay.SetDecider(n.proxy)
+}
+
+// maxFleet bounds the instances that are told of a blocked request.
+const maxFleet = 1024
+
+func (n *Node) register(credentials jypeer.Credentials) error {
+	s := n.settings
+	peers, err := jypeer.Listen(s.PeerAddress, credentials, n.peerHandler())
+	if err != nil {
+		return err
+	}
+	operators, err := newOperatorServer(n)
+	if err != nil {
+		return err
+	}
+	if n.callers, err = newCallerServer(s.CallerAddress, n.proxy); err != nil {
+		return err
+	}
+	services := []struct {
+		name    jykernel.Name
+		service jykernel.Service
+	}{
+		{ServicePeers, peers},
+		{ServiceFleet, n.fleet},
+		{ServiceRelease, n.release},
+		{ServiceInstances, jyrelease.ListWatch{Release: n.release}},
+		{ServiceEvidence, n.evidence},
+		{ServiceOperators, operators},
+		{ServiceCallers, n.callers},
+	}
+	for _, v := range services {
+		if err := n.kernel.Register(v.name, v.service); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (n *Node) apply(s jynote.State) { n.directory.Apply(s) }
+
+// Run serves until ctx ends, and then shuts down gracefully.
+func (n *Node) Run(ctx context.Context) error {
+	jylog.InstanceStarted.Log(n.settings.Name, n.boot, n.settings.CallerAddress, n.settings.PeerAddress)
+	running, stop := context.WithCancel(context.Background())
+	defer stop()
+	context.AfterFunc(ctx, func() {
+		n.shutDown()
+		stop()
+	})
+	err := n.kernel.Run(running)
+	if err != nil {
+		jylog.ServiceFailed.Log(err)
+	}
+	_ = n.metrics.Close()
+	return err
+}
+
+// Name returns the instance's name and boot for the operator.
+func (n *Node) Name() string { return fmt.Sprintf("%s/%d", n.settings.Name, n.boot) }
--- /dev/null
+++ b/internal/jynode/operator_server.go
@@ -0,0 +1,54 @@
+package jynode
+
+import (
+	"context"
+	"net"
+	"net/http"
+
+	"github.com/labstack/echo/v4"
+)
+
+// Paths of the operator's interface.
+const (
+	PathLive    = "/live"
+	PathReady   = "/ready"
+	PathStatus  = "/status"
+	PathBurn    = "/burn"
+	PathMetrics = "/metrics"
+)
+
+// operatorServer serves operators and the balancer's checks.
+type operatorServer struct {
+	listener net.Listener
+	http     *http.Server
+}
+
+func newOperatorServer(n *Node) (*operatorServer, error) {
+	listener, err := net.Listen("tcp", n.settings.OperatorAddress)
+	if err != nil {
+		return nil, newError("listen for operators", NoAddress, "%w", err)
+	}
+	e := echo.New()
+	e.HideBanner, e.HidePort = true, true
+	e.GET(PathLive, func(c echo.Context) error { return c.NoContent(http.StatusOK) })
+	e.GET(PathReady, func(c echo.Context) error {
+		if !n.isReady() {
+			return c.NoContent(http.StatusServiceUnavailable)
+		}
+		return c.NoContent(http.StatusOK)
+	})
+	e.GET(PathStatus, func(c echo.Context) error { return c.JSON(http.StatusOK, n.Status()) })
+	e.GET(PathBurn, func(c echo.Context) error { return c.JSON(http.StatusOK, n.burn.Report(n.settings.Name)) })
+	e.GET(PathMetrics, echo.WrapHandler(n.metrics.Handler()))
+	return &operatorServer{listener: listener, http: &http.Server{Handler: e, ReadHeaderTimeout: headerTimeout}}, nil
+}
+
+// Run serves until ctx ends.
+func (o *operatorServer) Run(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = o.http.Close() })
+	defer stop()
+	if err := o.http.Serve(o.listener); err != nil && ctx.Err() == nil {
+		return newError("serve operators", NoAddress, "%w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/jynode/status.go
@@ -0,0 +1,94 @@
+package jynode
+
+import (
+	"time"
+
+	"github.com/jackdawyard/jackdawyard/internal/jyledger"
+	"github.com/jackdawyard/jackdawyard/internal/jyrelease"
+	"github.com/jackdawyard/jackdawyard/pkg/jydetector"
+	"github.com/jackdawyard/jackdawyard/pkg/jynote"
+)
+
+// Status is what an operator sees of one instance; it travels as JSON.
+type Status struct {
+	Instance   string
+	DataCentre string
+	Ready      bool
+	Draining   bool
+	InProgress int64
+	Release    jyrelease.Status
+	RequestIDs jyledger.Stats
+	Members    []MemberStatus
+	Services   []ServiceStatus
+}
+
+// MemberStatus is what an instance holds of another one.
+type MemberStatus struct {
+	Name       string
+	DataCentre string
+	Status     string
+}
+
+// ServiceStatus is what an instance holds of a service.
+type ServiceStatus struct {
+	Service     jynote.ServiceName
+	UsableSlots int
+	AllSlots    int
+	Floor       int
+	Servers     []ServerStatus `json:",omitempty"`
+}
+
+// ServerStatus is a backend server that is not in full use.
+type ServerStatus struct {
+	Server jynote.ServerName
+	Phase  jydetector.Phase
+	// By is Fleet or Local.
+	By                  string
+	Cause               jydetector.Cause
+	Score               float64
+	RemainingSeconds    float64
+	ReadmittedAtService int
+}
+
+// Status returns what an operator sees of this instance.
+func (n *Node) Status() Status {
+	out := Status{
+		Instance: n.settings.Name, DataCentre: n.settings.DataCentre, Ready: n.isReady(), Draining: n.isDraining(),
+		InProgress: n.proxy.InProgress(), Release: n.release.Status(), RequestIDs: n.ledger.Stats(),
+	}
+	for _, m := range n.fleet.Members() {
+		out.Members = append(out.Members, MemberStatus{Name: string(m.Name), DataCentre: m.DataCentre, Status: m.Status.String()})
+	}
+	for _, v := range n.directory.Snapshot().Services() {
+		c := v.Capacity()
+		s := ServiceStatus{Service: v.Info.Name, UsableSlots: c.UsableSlots, AllSlots: c.AllSlots, Floor: v.Info.Floor}
+		fleet, local := v.Verdicts()
+		s.Servers = append(s.Servers, serverStatus(fleet, "Fleet", c.Readmitted)...)
+		s.Servers = append(s.Servers, serverStatus(local, "Local", c.Readmitted)...)
+		out.Services = append(out.Services, s)
+	}
+	return out
+}
+
+func serverStatus(list []jydetector.Verdict, by string, readmitted int) []ServerStatus {
+	out := make([]ServerStatus, 0, len(list))
+	for _, v := range list {
+		s := ServerStatus{Server: jynote.ServerName(v.Server), Phase: v.Phase, By: by, Cause: v.Cause, Score: v.Score, ReadmittedAtService: readmitted}
+		if !v.Until.IsZero() {
+			s.RemainingSeconds = max(0, time.Until(v.Until).Seconds())
+		}
+		out = append(out, s)
+	}
+	return out
+}
+
+func (n *Node) isDraining() bool {
+	select {
+	case <-n.draining:
+		return true
+	default:
+		return false
+	}
+}
+
+func (n *Node) isReady() bool { return n.release.IsReady() && !n.isDraining() }
--- /dev/null
+++ b/internal/jypeer/client.go
@@ -0,0 +1,76 @@
+package jypeer
+
+import (
+	"crypto/tls"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/jackdawyard/jackdawyard/internal/jywire/jywireconnect"
+)
+
+const (
+	connectTimeout = 500 * time.Millisecond
+	// pingAfter is how long a connection may be silent before it is tested, so that a dead path is dropped soon.
+	pingAfter     = time.Second
+	pingTimeout   = 500 * time.Millisecond
+	idleTimeout   = 30 * time.Second
+	maxMessage    = 8 << 20
+	clientsToKeep = 1024
+)
+
+// Clients makes the clients for calls to other instances.
+type Clients struct {
+	http        *http.Client
+	scheme      string
+	credentials Credentials
+	mu          sync.Mutex
+	byAddress   map[string]jywireconnect.PeerServiceClient
+}
+
+// NewClients returns clients that use these credentials.
+func NewClients(c Credentials) *Clients {
+	dialer := &net.Dialer{Timeout: connectTimeout}
+	protocols := &http.Protocols{}
+	t := &http.Transport{
+		DialContext:     dialer.DialContext,
+		IdleConnTimeout: idleTimeout,
+		Protocols:       protocols,
+		HTTP2:           &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
+	}
+	out := &Clients{http: &http.Client{Transport: t}, scheme: "http", credentials: c, byAddress: map[string]jywireconnect.PeerServiceClient{}}
+	if c.tls != nil {
+		out.scheme = "https"
+		protocols.SetHTTP2(true)
+		t.TLSClientConfig = clientTLS(c.tls)
+		return out
+	}
+	protocols.SetUnencryptedHTTP2(true)
+	return out
+}
+
+func clientTLS(c *tls.Config) *tls.Config {
+	out := c.Clone()
+	out.ClientAuth = tls.NoClientCert
+	return out
+}
+
+// At returns the client for the instance at this address.
+func (c *Clients) At(address string) jywireconnect.PeerServiceClient {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if p := c.byAddress[address]; p != nil {
+		return p
+	}
+	if len(c.byAddress) >= clientsToKeep {
+		clear(c.byAddress)
+	}
+	p := jywireconnect.NewPeerServiceClient(c.http, c.scheme+"://"+address,
+		connect.WithInterceptors(c.credentials.interceptor()),
+		connect.WithReadMaxBytes(maxMessage))
+	c.byAddress[address] = p
+	return p
+}
--- /dev/null
+++ b/internal/jypeer/doc.go
@@ -0,0 +1,2 @@
+// Package jypeer carries the calls between instances over connect-go.
+package jypeer
--- /dev/null
+++ b/internal/jypeer/errors.go
@@ -0,0 +1,20 @@
+package jypeer
+
+import "github.com/jackdawyard/jackdawyard/pkg/jyfault"
+
+// ErrorKind classifies the errors of this package.
+type ErrorKind string
+
+// The kinds of error.
+const (
+	Unreachable ErrorKind = "Unreachable"
+	Malformed   ErrorKind = "Malformed"
+	BadKeys     ErrorKind = "BadKeys"
+)
+
+// Error is the error type of this package.
+type Error = jyfault.Error[ErrorKind]
+
+func newError(op string, k ErrorKind, format string, args ...any) *Error {
+	return jyfault.New(op, k, format, args...)
+}
--- /dev/null
+++ b/internal/jypeer/server.go
@@ -0,0 +1,54 @@
+package jypeer
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/jackdawyard/jackdawyard/internal/jywire/jywireconnect"
+)
+
+const headerTimeout = 10 * time.Second
+
+// Server accepts the calls of other instances.
+type Server struct {
+	listener net.Listener
+	http     *http.Server
+}
+
+// Listen opens the address for calls to the handler.
+func Listen(address string, c Credentials, h jywireconnect.PeerServiceHandler) (*Server, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, newError("listen for peers", Unreachable, "%w", err)
+	}
+	path, handler := jywireconnect.NewPeerServiceHandler(h,
+		connect.WithInterceptors(c.interceptor()),
+		connect.WithReadMaxBytes(maxMessage))
+	mux := http.NewServeMux()
+	mux.Handle(path, handler)
+	protocols := &http.Protocols{}
+	protocols.SetHTTP1(true)
+	protocols.SetHTTP2(true)
+	protocols.SetUnencryptedHTTP2(c.tls == nil)
+	s := &http.Server{Handler: mux, Protocols: protocols, ReadHeaderTimeout: headerTimeout}
+	if c.tls != nil {
+		listener = tls.NewListener(listener, c.tls)
+		s.TLSConfig = c.tls
+	}
+	return &Server{listener: listener, http: s}, nil
+}
+
+// Run serves until ctx ends.
+func (s *Server) Run(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = s.http.Close() })
+	defer stop()
+	if err := s.http.Serve(s.listener); err != nil && ctx.Err() == nil {
+		return newError("serve peers", Unreachable, "%w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/jyplatform/client.go
@@ -0,0 +1,94 @@
+package jyplatform
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/jackdawyard/jackdawyard/pkg/jynote"
+)
+
+// Paths of the platform's configuration service.
+const (
+	HeadPath      = "/notes/head"
+	NotePath      = "/notes/"
+	InstancesPath = "/instances"
+)
+
+const readTimeout = 5 * time.Second
+
+// Client reads the platform over HTTP.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// NewClient returns a client of the configuration service at base, such as "http://127.0.0.1:7000".
+func NewClient(base string) *Client {
+	return &Client{base: base, http: &http.Client{}}
+}
+
+// Head returns the newest note's number; with after above 0 it waits up to wait until the number is above after.
+func (c *Client) Head(ctx context.Context, after jynote.Number, wait time.Duration) (Head, error) {
+	var h Head
+	ctx, cancel := context.WithTimeout(ctx, wait+readTimeout)
+	defer cancel()
+	path := fmt.Sprintf("%s?After=%d&WaitMilliseconds=%d", HeadPath, after, wait.Milliseconds())
+	raw, err := c.get(ctx, path)
+	if err != nil {
+		return h, err
+	}
+	if err := json.Unmarshal(raw, &h); err != nil {
+		return h, newError("read head", Malformed, "%w", err)
+	}
+	return h, nil
+}
+
+// Note returns the published bytes of a release note.
+func (c *Client) Note(ctx context.Context, n jynote.Number) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	return c.get(ctx, fmt.Sprintf("%s%d", NotePath, n))
+}
+
+// Instances returns the platform's list of instances.
+func (c *Client) Instances(ctx context.Context) (InstanceList, error) {
+	var l InstanceList
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	raw, err := c.get(ctx, InstancesPath)
+	if err != nil {
+		return l, err
+	}
+	if err := json.Unmarshal(raw, &l); err != nil {
+		return l, newError("read instances", Malformed, "%w", err)
+	}
+	return l, nil
+}
+
+func (c *Client) get(ctx context.Context, path string) ([]byte, error) {
+	const op = "read platform"
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+path, nil)
+	if err != nil {
+		return nil, newError(op, Malformed, "%w", err)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, newError(op, Unreachable, "%w", err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, jynote.MaxNoteBytes+1))
+	if err != nil {
+		return nil, newError(op, Unreachable, "%w", err)
+	}
+	if resp.StatusCode == http.StatusNotFound {
+		return nil, newError(op, Missing, "%s", path)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, newError(op, Unreachable, "status %d", resp.StatusCode)
+	}
+	return raw, nil
+}
--- /dev/null
+++ b/internal/jyproxy/attempt.go
@@ -0,0 +1,163 @@
+package jyproxy
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/jackdawyard/jackdawyard/internal/jybackend"
+	"github.com/jackdawyard/jackdawyard/pkg/jynote"
+	"github.com/jackdawyard/jackdawyard/pkg/jyoutcome"
+	"github.com/jackdawyard/jackdawyard/pkg/jyretry"
+)
+
+// attempt is one try of a request at one backend server.
+type attempt struct {
+	forwarder *Forwarder
+	request   *request
+	server    *jybackend.Server
+	started   time.Time
+	cancel    context.CancelFunc
+}
+
+// run sends the request and returns the answer, or what became of it; it ends the attempt unless the answer still streams.
+func (a *attempt) run(ctx context.Context) (*answer, *jyretry.Failure) {
+	a.started = time.Now()
+	ctx, a.cancel = context.WithCancel(ctx)
+	conn, err := a.connect(ctx)
+	if err != nil {
+		return nil, a.notConnected(ctx, err)
+	}
+	x, err := a.exchange(ctx, conn)
+	if err != nil {
+		return nil, a.lost(ctx, conn, err)
+	}
+	return a.read(ctx, x)
+}
+
+func (a *attempt) connect(ctx context.Context) (*jybackend.Connection, error) {
+	proofAfter := time.Time{}
+	if !a.request.match.Idempotent {
+		proofAfter = a.started.Add(-a.forwarder.config.IdleProofOfLife)
+	}
+	return a.server.Pool.Get(ctx, a.started, proofAfter)
+}
+
+func (a *attempt) notConnected(ctx context.Context, err error) *jyretry.Failure {
+	f := &jyretry.Failure{CertainlyNotRun: true, Reason: jyoutcome.ConnectFailed}
+	var e *jybackend.Error
+	switch {
+	case errors.As(err, &e) && e.Kind == jybackend.Exhausted:
+		f.Reason = jyoutcome.Overloaded
+		a.end(jybackend.Neutral)
+	case ctx.Err() != nil:
+		f.Reason = reasonOf(ctx)
+		a.end(jybackend.Neutral)
+	default:
+		a.end(jybackend.Failed)
+	}
+	return f
+}
+
+func reasonOf(ctx context.Context) jyoutcome.Reason {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return jyoutcome.DeadlinePassed
+	}
+	return jyoutcome.CancelledByCaller
+}
+
+// lost ends an attempt that brought no head of an answer.
+func (a *attempt) lost(ctx context.Context, conn *jybackend.Connection, err error) *jyretry.Failure {
+	f := &jyretry.Failure{Reason: jyoutcome.AnswerLost}
+	if ctx.Err() == nil {
+		f.MayCrash = errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || isReset(err)
+		a.end(blame(conn, f.MayCrash))
+		return f
+	}
+	f.Reason = reasonOf(ctx)
+	if f.Reason == jyoutcome.DeadlinePassed {
+		a.end(jybackend.Failed)
+	} else {
+		a.end(jybackend.Neutral)
+	}
+	return f
+}
+
+// blame spares the server where a connection that was kept open has ended: a server in fault shows on new ones too.
+func blame(conn *jybackend.Connection, ended bool) jybackend.Result {
+	if conn.Reused && ended {
+		return jybackend.Neutral
+	}
+	return jybackend.Failed
+}
+
+// read takes the answer's body as far as it is buffered.
+func (a *attempt) read(ctx context.Context, x exchange) (*answer, *jyretry.Failure) {
+	resp := x.response
+	a.noteMarks(resp)
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedAnswer+1))
+	if err != nil {
+		a.server.Pool.Drop(x.connection)
+		return nil, a.lost(ctx, x.connection, err)
+	}
+	out := &answer{status: resp.StatusCode, header: resp.Header, body: body, length: resp.ContentLength}
+	if len(body) > maxBufferedAnswer {
+		out.rest = resp.Body
+		out.finish = func(complete bool) { a.finishStream(x, complete) }
+		return out, nil
+	}
+	a.server.Pool.Put(x.connection, time.Now())
+	service := a.request.match.Service
+	if matchesAny(service.NotRunMarks, resp) {
+		a.end(jybackend.Neutral)
+		return nil, &jyretry.Failure{CertainlyNotRun: true, Reason: jyoutcome.DeclaredNotRun}
+	}
+	a.end(resultOf(service, resp))
+	return out, nil
+}
+
+func (a *attempt) finishStream(x exchange, complete bool) {
+	if !complete {
+		a.server.Pool.Drop(x.connection)
+		a.end(jybackend.Failed)
+		return
+	}
+	a.server.Pool.Put(x.connection, time.Now())
+	a.end(resultOf(a.request.match.Service, x.response))
+}
+
+func resultOf(s jynote.Service, resp *http.Response) jybackend.Result {
+	if s.ShedMark.Matches(resp.StatusCode, resp.Header.Get) {
+		return jybackend.Neutral
+	}
+	if resp.StatusCode >= http.StatusInternalServerError {
+		return jybackend.Failed
+	}
+	return jybackend.Answered
+}
+
+func matchesAny(marks []jynote.Mark, resp *http.Response) bool {
+	for _, m := range marks {
+		if m.Matches(resp.StatusCode, resp.Header.Get) {
+			return true
+		}
+	}
+	return false
+}
+
+func (a *attempt) noteMarks(resp *http.Response) {
+	if a.request.match.Service.DrainMark.Matches(resp.StatusCode, resp.Header.Get) && a.server.MarkDraining() {
+		a.forwarder.config.OnEvidence(a.request.match.Service.Name)
+	}
+}
+
+// end counts the attempt and frees its place at the backend server.
+func (a *attempt) end(r jybackend.Result) {
+	a.cancel()
+	a.server.Release()
+	if a.request.service.Record(a.server, r, time.Since(a.started)) {
+		a.forwarder.config.OnEvidence(a.request.match.Service.Name)
+	}
+}
--- /dev/null
+++ b/internal/jyproxy/doc.go
@@ -0,0 +1,2 @@
+// Package jyproxy answers callers: it admits their requests, sends them to backend servers, and tells each caller its outcome.
+package jyproxy
--- /dev/null
+++ b/internal/jyproxy/forwarder.go
@@ -0,0 +1,132 @@
+package jyproxy
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/jackdawyard/jackdawyard/internal/jybackend"
+	"github.com/jackdawyard/jackdawyard/pkg/jyblock"
+	"github.com/jackdawyard/jackdawyard/pkg/jynote"
+	"github.com/jackdawyard/jackdawyard/pkg/jyoutcome"
+	"github.com/jackdawyard/jackdawyard/pkg/jyretry"
+)
+
+// ForwarderConfig sets up a Forwarder.
+type ForwarderConfig struct {
+	IdleProofOfLife     time.Duration
+	SilentConnectionLag time.Duration
+	// OnEvidence is called when a service has evidence that should be reported soon.
+	OnEvidence func(jynote.ServiceName)
+	Block      Block
+}
+
+// Block knows the requests that end backend servers.
+type Block interface {
+	IsEmpty() bool
+	IsBlocked(f jyblock.Fingerprint) bool
+	Completed(f jyblock.Fingerprint)
+	Crashed(f jyblock.Fingerprint, server jyblock.ServerName, idempotent bool) (blocked bool)
+}
+
+// Forwarder sends requests to backend servers.
+type Forwarder struct {
+	config ForwarderConfig
+}
+
+// NewForwarder returns a forwarder.
+func NewForwarder(c ForwarderConfig) *Forwarder { return &Forwarder{config: c} }
+
+// forward returns the answer to the request, or the refusal that the caller gets.
+func (f *Forwarder) forward(ctx context.Context, r *request) (*answer, *jyoutcome.Refusal) {
+	r.service.CreditRequest()
+	for {
+		now := time.Now()
+		if !now.Before(r.deadline) {
+			return nil, f.refuse(r, jyoutcome.DeadlinePassed)
+		}
+		if f.isBlocked(r) {
+			return nil, f.refuse(r, jyoutcome.RequestBlocked)
+		}
+		server, err := r.service.Choose(now, jybackend.Need{Idempotent: r.match.Idempotent, Exclude: r.tried})
+		if err != nil {
+			return nil, f.refuse(r, noServerReason(r.service))
+		}
+		r.attempts++
+		r.tried = append(r.tried, server)
+		a := &attempt{forwarder: f, request: r, server: server}
+		out, failure := a.run(ctx)
+		if failure == nil {
+			f.completed(r)
+			return out, nil
+		}
+		if failure.MayCrash {
+			f.crashed(r, server)
+		}
+		decision := jyretry.Decide(jyretry.Request{
+			Idempotent: r.match.Idempotent,
+			Replayable: r.replayable(),
+			Attempts:   r.attempts,
+			MayHaveRun: r.mayHaveRun,
+			Remaining:  time.Until(r.deadline),
+		}, *failure, r.service.TakeRetry)
+		if !decision.Retry {
+			return nil, &decision.Refusal
+		}
+		r.mayHaveRun = r.mayHaveRun || !failure.CertainlyNotRun
+	}
+}
+
+// refuse returns the refusal of a request that is not tried, or not tried again.
+func (f *Forwarder) refuse(r *request, reason jyoutcome.Reason) *jyoutcome.Refusal {
+	refusal := jyretry.RefusalFor(
+		jyretry.Request{MayHaveRun: r.mayHaveRun},
+		jyretry.Failure{CertainlyNotRun: true, Reason: reason})
+	if reason == jyoutcome.RequestBlocked {
+		refusal.RetryAfter = 0
+		refusal.Detail += " It ended backend servers that ran it, and is blocked."
+	}
+	return &refusal
+}
+
+// isBlocked reports whether the request ended backend servers before; a body that streams is not known.
+func (f *Forwarder) isBlocked(r *request) bool {
+	return r.replayable() && !f.config.Block.IsEmpty() && f.config.Block.IsBlocked(jyblock.Fingerprint(r.fingerprint()))
+}
+
+func (f *Forwarder) completed(r *request) {
+	if r.replayable() && !f.config.Block.IsEmpty() {
+		f.config.Block.Completed(jyblock.Fingerprint(r.fingerprint()))
+	}
+}
+
+func (f *Forwarder) crashed(r *request, s *jybackend.Server) {
+	if r.replayable() {
+		f.config.Block.Crashed(jyblock.Fingerprint(r.fingerprint()), jyblock.ServerName(s.Info.Name), r.match.Idempotent)
+	}
+}
+
+func noServerReason(v *jybackend.Service) jyoutcome.Reason {
+	if v.Capacity().UsableSlots > 0 {
+		return jyoutcome.Overloaded
+	}
+	return jyoutcome.NoBackendServer
+}
+
+// statusFor returns the HTTP status of a refusal by reason alone, for results that were remembered.
+func statusFor(o jyoutcome.Outcome, r jyoutcome.Reason) int {
+	switch r {
+	case jyoutcome.RequestIDInvalid, jyoutcome.RequestIDReused:
+		return http.StatusUnprocessableEntity
+	case jyoutcome.DeadlinePassed:
+		if o == jyoutcome.Unknown {
+			return http.StatusGatewayTimeout
+		}
+	case jyoutcome.RequestIDExpired:
+		return http.StatusGone
+	}
+	if o == jyoutcome.NotRun {
+		return http.StatusServiceUnavailable
+	}
+	return http.StatusBadGateway
+}
--- /dev/null
+++ b/internal/jyproxy/headers.go
@@ -0,0 +1,54 @@
+package jyproxy
+
+import (
+	"net/http"
+	"net/textproto"
+	"strings"
+)
+
+// Headers of the interface towards callers and backend servers; docs/INTERFACES.md describes them.
+const (
+	HeaderIdempotencyKey = "Idempotency-Key"
+	HeaderNextRequestID  = "Jackdawyard-Next-Request-Id"
+	HeaderRemaining      = "Jackdawyard-Remaining-Milliseconds"
+	HeaderReplayed       = "Jackdawyard-Replayed"
+)
+
+var hopByHop = []string{
+	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// copyHeaders adds the end-to-end headers of src to dst.
+func copyHeaders(dst, src http.Header) {
+	dropped := connectionHeaders(src)
+	for name, values := range src {
+		if dropped[name] || isHopByHop(name) {
+			continue
+		}
+		dst[name] = append(dst[name], values...)
+	}
+}
+
+func connectionHeaders(h http.Header) map[string]bool {
+	listed := h["Connection"]
+	if len(listed) == 0 {
+		return nil
+	}
+	out := map[string]bool{}
+	for _, line := range listed {
+		for name := range strings.SplitSeq(line, ",") {
+			out[textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name))] = true
+		}
+	}
+	return out
+}
+
+func isHopByHop(name string) bool {
+	for _, h := range hopByHop {
+		if h == name {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/jyproxy/limits.go
@@ -0,0 +1,50 @@
+package jyproxy
+
+import (
+	"sync"
+	"time"
+
+	"github.com/jackdawyard/jackdawyard/pkg/jylimit"
+)
+
+const limitShards = 16
+
+// Limits is a jylimit.Limiter for concurrent use.
+type Limits struct {
+	shards [limitShards]limitShard
+}
+
+type limitShard struct {
+	mu      sync.Mutex
+	limiter *jylimit.Limiter
+}
+
+// NewLimits returns limits that know no caller.
+func NewLimits(c jylimit.Config) *Limits {
+	c.MaxCallers = max(1, c.MaxCallers/limitShards)
+	l := &Limits{}
+	for i := range l.shards {
+		l.shards[i].limiter = jylimit.New(c)
+	}
+	return l
+}
+
+func (l *Limits) shard(caller string) *limitShard {
+	return &l.shards[(caller[0]*7+caller[1])%limitShards]
+}
+
+// Begin admits a request of the caller, or returns after what time one may be admitted.
+func (l *Limits) Begin(now time.Time, caller string) (bool, time.Duration) {
+	s := l.shard(caller)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.limiter.Begin(now, caller)
+}
+
+// End ends a request that Begin admitted.
+func (l *Limits) End(caller string) {
+	s := l.shard(caller)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limiter.End(caller)
+}
--- /dev/null
+++ b/internal/jyproxy/proxy.go
@@ -0,0 +1,252 @@
+package jyproxy
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/jackdawyard/jackdawyard/internal/jybackend"
+	"github.com/jackdawyard/jackdawyard/pkg/jydedup"
+	"github.com/jackdawyard/jackdawyard/pkg/jynote"
+	"github.com/jackdawyard/jackdawyard/pkg/jyoutcome"
+)
+
+// Recorder takes the outcome of each request for the report on service-level burn.
+type Recorder interface {
+	Record(service jynote.ServiceName, o jyoutcome.Outcome, status int, latency time.Duration)
+}
+
+// Config sets up a Proxy.
+type Config struct {
+	Directory      *jybackend.Directory
+	Forwarder      *Forwarder
+	Ledger         Ledger
+	Relayer        Relayer
+	Recorder       Recorder
+	Limits         *Limits
+	CallerHeader   string
+	MaxConcurrent  int
+	MaxAnswerBytes int64
+}
+
+// Proxy is the HTTP handler for callers.
+type Proxy struct {
+	config     Config
+	inProgress atomic.Int64
+}
+
+// New returns a proxy.
+func New(c Config) *Proxy { return &Proxy{config: c} }
+
+// InProgress returns the requests that have begun and not ended.
+func (p *Proxy) InProgress() int64 { return p.inProgress.Load() }
+
+// ServeHTTP answers one caller's request.
+func (p *Proxy) ServeHTTP(w http.ResponseWriter, in *http.Request) {
+	p.inProgress.Add(1)
+	defer p.inProgress.Add(-1)
+	r := &request{
+		method: in.Method, uri: in.URL.RequestURI(), host: in.Host, header: in.Header,
+		caller: p.callerOf(in), arrived: time.Now(),
+	}
+	if refusal := p.admit(r); refusal != nil {
+		_ = refusal.Write(w)
+		return
+	}
+	defer p.config.Limits.End(r.caller)
+	if in.URL.Path == RequestIDPath {
+		p.issue(w, in, r.caller)
+		return
+	}
+	refusal := p.route(r, in.URL.Path)
+	if refusal == nil {
+		refusal = p.prepare(r, in)
+	}
+	if refusal != nil {
+		_ = refusal.Write(w)
+		return
+	}
+	p.serve(w, in, r)
+}
+
+// callerOf returns a digest, so that no credential is kept or passed on between instances.
+func (p *Proxy) callerOf(in *http.Request) string {
+	name := in.Header.Get(p.config.CallerHeader)
+	if name == "" {
+		name, _, _ = net.SplitHostPort(in.RemoteAddr)
+	}
+	sum := sha256.Sum256([]byte(name))
+	return hex.EncodeToString(sum[:16])
+}
+
+func (p *Proxy) admit(r *request) *jyoutcome.Refusal {
+	if p.inProgress.Load() > int64(p.config.MaxConcurrent) {
+		return &jyoutcome.Refusal{
+			Outcome: jyoutcome.NotRun, Reason: jyoutcome.Overloaded, Status: http.StatusServiceUnavailable,
+			Detail: "This instance is full.", RetryAfter: time.Second,
+		}
+	}
+	if ok, wait := p.config.Limits.Begin(r.arrived, r.caller); !ok {
+		return &jyoutcome.Refusal{
+			Outcome: jyoutcome.NotRun, Reason: jyoutcome.CallerLimit, Status: http.StatusTooManyRequests,
+			Detail: "This caller is over its limit at this instance.", RetryAfter: wait,
+		}
+	}
+	return nil
+}
+
+// route finds the service of the request.
+func (p *Proxy) route(r *request, path string) *jyoutcome.Refusal {
+	snapshot := p.config.Directory.Snapshot()
+	if snapshot.State.Number == 0 {
+		return &jyoutcome.Refusal{
+			Outcome: jyoutcome.NotRun, Reason: jyoutcome.NoReleaseNote, Status: http.StatusServiceUnavailable,
+			Detail: "No release note is in force yet.", RetryAfter: time.Second,
+		}
+	}
+	match, ok := snapshot.Routes.Find(r.method, path)
+	if !ok {
+		return &jyoutcome.Refusal{
+			Outcome: jyoutcome.NotRun, Reason: jyoutcome.NoRoute, Status: http.StatusNotFound,
+			Detail: "No route fits this method and path.",
+		}
+	}
+	r.match = match
+	r.service = snapshot.Service(match.Service.Name)
+	r.deadline = r.arrived.Add(deadlineOf(match.Service))
+	return nil
+}
+
+// prepare checks the request and reads its body as far as needed before any backend server is touched.
+func (p *Proxy) prepare(r *request, in *http.Request) *jyoutcome.Refusal {
+	if in.Header.Get("Upgrade") != "" || in.Method == http.MethodConnect {
+		return &jyoutcome.Refusal{
+			Outcome: jyoutcome.NotRun, Reason: jyoutcome.BadRequest, Status: http.StatusBadRequest,
+			Detail: "Upgrades and tunnels are not served.",
+		}
+	}
+	if text := in.Header.Get(HeaderRemaining); text != "" {
+		ms, err := strconv.ParseInt(text, 10, 64)
+		if err != nil || ms <= 0 {
+			return &jyoutcome.Refusal{
+				Outcome: jyoutcome.NotRun, Reason: jyoutcome.BadRequest, Status: http.StatusBadRequest,
+				Detail: HeaderRemaining + " must be a whole number above 0.",
+			}
+		}
+		own := r.arrived.Add(time.Duration(min(ms, jynote.MaxDeadlineMilliseconds)) * time.Millisecond)
+		if own.Before(r.deadline) {
+			r.deadline = own
+		}
+	}
+	return r.readBody(in, r.match.Service.MaxBodyBytes)
+}
+
+func (p *Proxy) serve(w http.ResponseWriter, in *http.Request, r *request) {
+	ctx, cancel := context.WithDeadline(in.Context(), r.deadline)
+	defer cancel()
+	key := r.header.Get(HeaderIdempotencyKey)
+	if !r.match.Idempotent {
+		w.Header().Set(HeaderNextRequestID, p.config.Ledger.Issue(jydedup.Caller(r.caller), 1)[0].String())
+	}
+	if key != "" && !r.match.Idempotent {
+		p.serveIdentified(ctx, w, r, key)
+		return
+	}
+	a, refusal := p.config.Forwarder.forward(ctx, r)
+	if refusal != nil {
+		p.record(r, refusal.Outcome, refusal.Status)
+		_ = refusal.Write(w)
+		return
+	}
+	p.record(r, jyoutcome.Complete, a.status)
+	a.write(w, p.config.MaxAnswerBytes, r.method == http.MethodHead)
+}
+
+func (p *Proxy) record(r *request, o jyoutcome.Outcome, status int) {
+	p.config.Recorder.Record(r.match.Service.Name, o, status, time.Since(r.arrived))
+}
+
+func (p *Proxy) serveIdentified(ctx context.Context, w http.ResponseWriter, r *request, key string) {
+	id, err := jydedup.ParseID(key)
+	if err != nil {
+		_ = refusalFor(jydedup.Result{Outcome: jyoutcome.NotRun, Reason: jyoutcome.RequestIDInvalid}).Write(w)
+		return
+	}
+	if r.stream != nil {
+		if refusal := r.buffer(r.stream, maxIdentifiedBody); refusal != nil {
+			_ = refusal.Write(w)
+			return
+		}
+	}
+	result := p.identified(ctx, r, id)
+	if result.Outcome != jyoutcome.Complete || result.Answer == nil {
+		refusal := refusalFor(result)
+		p.record(r, refusal.Outcome, refusal.Status)
+		_ = refusal.Write(w)
+		return
+	}
+	p.record(r, jyoutcome.Complete, result.Answer.Status)
+	a := &answer{status: result.Answer.Status, header: result.Answer.Header, body: result.Answer.Body}
+	a.write(w, p.config.MaxAnswerBytes, r.method == http.MethodHead)
+}
+
+// refusalFor returns what a caller is told of a result that carries no answer.
+func refusalFor(r jydedup.Result) jyoutcome.Refusal {
+	out := jyoutcome.Refusal{Outcome: r.Outcome, Reason: r.Reason, Status: statusFor(r.Outcome, r.Reason), RetryAfter: time.Second}
+	switch r.Outcome {
+	case jyoutcome.Complete:
+		// The request ran, and its answer was too large to keep for a resend.
+		out.Outcome, out.Reason, out.Status = jyoutcome.Unknown, jyoutcome.AnswerTooLarge, http.StatusBadGateway
+		out.Detail = "The request ran; its answer is not kept."
+	case jyoutcome.NotRun:
+		out.Detail = "No backend server ran the request, and none will under this request id; use a new one."
+	case jyoutcome.Unknown:
+		out.Detail = "A backend server may have run the request; it will not run again under this request id."
+	}
+	return out
+}
+
+// RequestIDPath is where callers get request ids ahead of need.
+const RequestIDPath = jynote.ReservedPrefix + "request-ids"
+
+const maxIssued = 100
+
+type issuedIDs struct {
+	RequestIds []string
+}
+
+func (p *Proxy) issue(w http.ResponseWriter, in *http.Request, caller string) {
+	count := 1
+	if text := in.URL.Query().Get("Count"); text != "" {
+		n, err := strconv.Atoi(text)
+		if err != nil || n < 1 || n > maxIssued {
+			_ = jyoutcome.Refusal{
+				Outcome: jyoutcome.NotRun, Reason: jyoutcome.BadRequest, Status: http.StatusBadRequest, Detail: "Count must be 1 to 100.",
+			}.Write(w)
+			return
+		}
+		count = n
+	}
+	var out issuedIDs
+	for _, id := range p.config.Ledger.Issue(jydedup.Caller(caller), count) {
+		out.RequestIds = append(out.RequestIds, id.String())
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set(jyoutcome.Header, string(jyoutcome.Complete))
+	_ = json.NewEncoder(w).Encode(out)
+}
+
+func pathOf(uri string) string {
+	u, err := url.ParseRequestURI(uri)
+	if err != nil {
+		return uri
+	}
+	return u.Path
+}
--- /dev/null
+++ b/internal/jyproxy/request.go
@@ -0,0 +1,116 @@
+package jyproxy
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/jackdawyard/jackdawyard/internal/jybackend"
+	"github.com/jackdawyard/jackdawyard/pkg/jydedup"
+	"github.com/jackdawyard/jackdawyard/pkg/jyoutcome"
+	"github.com/jackdawyard/jackdawyard/pkg/jyroute"
+)
+
+// maxBufferedBody is the size up to which a request body is kept for retries.
+const maxBufferedBody = 64 << 10
+
+// maxIdentifiedBody bounds the body of a request that carries a request id.
+const maxIdentifiedBody = 1 << 20
+
+// request is one caller's request on its way.
+type request struct {
+	method     string
+	uri        string
+	host       string
+	header     http.Header
+	body       []byte    // whole, unless stream is set
+	stream     io.Reader // a body too large to keep
+	length     int64
+	caller     string
+	match      jyroute.Match
+	service    *jybackend.Service
+	arrived    time.Time
+	deadline   time.Time
+	attempts   int
+	mayHaveRun bool
+	tried      []*jybackend.Server
+}
+
+func (r *request) replayable() bool { return r.stream == nil }
+
+// bodyReader returns the body for one attempt.
+func (r *request) bodyReader() io.Reader {
+	if r.stream != nil {
+		return r.stream
+	}
+	if len(r.body) == 0 {
+		return http.NoBody
+	}
+	return bytes.NewReader(r.body)
+}
+
+// outgoing returns the request for one attempt.
+func (r *request) outgoing(ctx context.Context, address string, now time.Time) (*http.Request, error) {
+	out, err := http.NewRequestWithContext(ctx, r.method, "http://"+address+r.uri, r.bodyReader())
+	if err != nil {
+		return nil, newError("make request", Malformed, "%w", err)
+	}
+	out.ContentLength = r.length
+	out.Host = r.host
+	out.Header = make(http.Header, len(r.header)+1)
+	copyHeaders(out.Header, r.header)
+	out.Header.Set(HeaderRemaining, strconv.FormatInt(r.deadline.Sub(now).Milliseconds(), 10))
+	return out, nil
+}
+
+// fingerprint identifies what the request asks for.
+func (r *request) fingerprint() jydedup.Fingerprint {
+	h := sha256.New()
+	for _, part := range []string{r.method, r.uri, r.header.Get("Content-Type")} {
+		io.WriteString(h, part) //nolint:errcheck // a hash never fails
+		h.Write([]byte{0})
+	}
+	h.Write(r.body)
+	return jydedup.Fingerprint(h.Sum(nil))
+}
+
+// readBody reads the body as far as it is kept, or returns the refusal that its size calls for.
+func (r *request) readBody(in *http.Request, limit int64) *jyoutcome.Refusal {
+	r.length = in.ContentLength
+	switch {
+	case in.ContentLength == 0:
+		return nil
+	case in.ContentLength > limit:
+		return refuseSize(limit)
+	case in.ContentLength > maxBufferedBody:
+		r.stream = in.Body
+		return nil
+	}
+	return r.buffer(in.Body, min(limit, maxBufferedBody))
+}
+
+// buffer reads a body whole; a longer one of unknown length is refused, since no backend server may see it cut.
+func (r *request) buffer(body io.Reader, limit int64) *jyoutcome.Refusal {
+	raw, err := io.ReadAll(io.LimitReader(body, limit+1))
+	if err != nil {
+		return &jyoutcome.Refusal{Outcome: jyoutcome.NotRun, Reason: jyoutcome.BadRequest, Status: http.StatusBadRequest, Detail: "The request body ended early."}
+	}
+	if int64(len(raw)) > limit {
+		return refuseSize(limit)
+	}
+	r.body, r.length, r.stream = raw, int64(len(raw)), nil
+	return nil
+}
+
+func refuseSize(limit int64) *jyoutcome.Refusal {
+	return &jyoutcome.Refusal{
+		Outcome: jyoutcome.NotRun,
+		Reason:  jyoutcome.BodyTooLarge,
+		Status:  http.StatusRequestEntityTooLarge,
+		Detail:  "The request body is over " + strconv.FormatInt(limit, 10) + " bytes; longer ones need a Content-Length and a service that allows them.",
+	}
+}
--- /dev/null
+++ b/internal/jyrelay/errors.go
@@ -0,0 +1,20 @@
+package jyrelay
+
+import "github.com/jackdawyard/jackdawyard/pkg/jyfault"
+
+// ErrorKind classifies the errors of this package.
+type ErrorKind string
+
+// The kinds of error.
+const (
+	NoHolder    ErrorKind = "NoHolder"
+	Unreachable ErrorKind = "Unreachable"
+	NotSealed   ErrorKind = "NotSealed"
+)
+
+// Error is the error type of this package.
+type Error = jyfault.Error[ErrorKind]
+
+func newError(op string, k ErrorKind, format string, args ...any) *Error {
+	return jyfault.New(op, k, format, args...)
+}
--- /dev/null
+++ b/internal/jyrelay/relay.go
@@ -0,0 +1,134 @@
+package jyrelay
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/jackdawyard/jackdawyard/internal/jyledger"
+	"github.com/jackdawyard/jackdawyard/internal/jylog"
+	"github.com/jackdawyard/jackdawyard/internal/jypeer"
+	"github.com/jackdawyard/jackdawyard/internal/jyproxy"
+	"github.com/jackdawyard/jackdawyard/internal/jywire"
+	"github.com/jackdawyard/jackdawyard/pkg/jydedup"
+	"github.com/jackdawyard/jackdawyard/pkg/jymember"
+	"github.com/jackdawyard/jackdawyard/pkg/jyoutcome"
+)
+
+// Fleet is what is asked of the membership.
+type Fleet interface {
+	Self() jymember.Member
+	Holder(r jymember.Run) (jymember.Member, bool)
+	Ranked(key string, count int, only func(jymember.Member) bool) []jymember.Member
+	AddSuccession(s jymember.Succession)
+}
+
+// Decider runs a request that was relayed to this instance.
+type Decider interface {
+	Decide(ctx context.Context, r jyproxy.Relay) jydedup.Result
+}
+
+// Config sets up a Relay.
+type Config struct {
+	Clients *jypeer.Clients
+	Fleet   Fleet
+	Ledger  *jyledger.Ledger
+	Timeout time.Duration
+}
+
+// Relay passes requests to the instance that decides about their ids, and takes such requests from peers.
+type Relay struct {
+	config  Config
+	decider Decider
+}
+
+// New returns a relay; SetDecider must follow before peers call.
+func New(c Config) *Relay { return &Relay{config: c} }
+
+// SetDecider tells what runs the requests that peers relay.
+func (r *Relay) SetDecider(d Decider) { r.decider = d }
+
+// Relay passes a request on; an error means that its outcome is unknown.
+func (r *Relay) Relay(ctx context.Context, in jyproxy.Relay) (jydedup.Result, error) {
+	const op = "relay request"
+	run := jymember.Run{Name: jymember.Name(in.ID.Issuer.Instance), Boot: jymember.Boot(in.ID.Issuer.Boot)}
+	holder, ok := r.config.Fleet.Holder(run)
+	if !ok || holder.Address == "" || holder.Name == r.config.Fleet.Self().Name {
+		return jydedup.Result{}, newError(op, NoHolder, "%s", in.ID.Issuer.Instance)
+	}
+	resp, err := r.config.Clients.At(holder.Address).Relay(ctx, connect.NewRequest(&jywire.RelayRequest{
+		Id: jypeer.IDToWire(in.ID), Caller: string(in.Caller), Method: in.Method, Uri: in.URI, Host: in.Host,
+		Headers: jypeer.HeadersToWire(in.Header), Body: in.Body, RemainingMilliseconds: in.Remaining.Milliseconds(),
+	}))
+	if err != nil {
+		return jydedup.Result{}, newError(op, Unreachable, "%w", err)
+	}
+	result := jypeer.ResultFromWire(resp.Msg.GetResult())
+	if result.Outcome != jyoutcome.Complete && result.Outcome != jyoutcome.NotRun {
+		result.Outcome = jyoutcome.Unknown
+	}
+	return result, nil
+}
+
+// Answer runs a request that a peer relayed.
+func (r *Relay) Answer(ctx context.Context, q *connect.Request[jywire.RelayRequest]) (*connect.Response[jywire.RelayResponse], error) {
+	m := q.Msg
+	result := r.decider.Decide(ctx, jyproxy.Relay{
+		ID: jypeer.IDFromWire(m.GetId()), Caller: jydedup.Caller(m.GetCaller()), Method: m.GetMethod(), URI: m.GetUri(), Host: m.GetHost(),
+		Header: jypeer.HeadersFromWire(m.GetHeaders()), Body: m.GetBody(), Remaining: time.Duration(m.GetRemainingMilliseconds()) * time.Millisecond,
+	})
+	return connect.NewResponse(&jywire.RelayResponse{Result: jypeer.ResultToWire(result)}), nil
+}
+
+// HandOver brings the ids of this process, which must be sealed and idle, to one successor, and returns it.
+//
+// Only one successor is ever offered the ids: if its answer is lost, it may have taken them, and a second one must not.
+func (r *Relay) HandOver(ctx context.Context) (*jymember.Run, error) {
+	const op = "hand request ids over"
+	list, err := r.config.Ledger.Export()
+	if err != nil {
+		return nil, newError(op, NotSealed, "%w", err)
+	}
+	self := r.config.Fleet.Self()
+	notSelf := func(m jymember.Member) bool {
+		return m.Name != self.Name && m.Status == jymember.Alive && m.Address != ""
+	}
+	to := r.config.Fleet.Ranked("successor/"+string(self.Name), 1, notSelf)
+	if len(to) == 0 {
+		return nil, newError(op, NoHolder, "no other instance works")
+	}
+	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
+	defer cancel()
+	var successor *jymember.Run
+	records := 0
+	for _, h := range list {
+		resp, err := r.config.Clients.At(to[0].Address).HandOver(ctx, connect.NewRequest(jypeer.HandOverToWire(h)))
+		if err != nil {
+			return successor, newError(op, Unreachable, "%w", err)
+		}
+		run := jypeer.RunFromWire(resp.Msg.GetSuccessor())
+		successor = &run
+		records += len(h.Records)
+		from := jymember.Run{Name: jymember.Name(h.Issuer.Instance), Boot: jymember.Boot(h.Issuer.Boot)}
+		r.config.Fleet.AddSuccession(jymember.Succession{From: from, To: run})
+	}
+	jylog.HandOverDone.Log(to[0].Name, records)
+	return successor, nil
+}
+
+const handOverTimeout = 5 * time.Second
+
+// TakeOver takes the ids of an instance that shuts down.
+func (r *Relay) TakeOver(_ context.Context, q *connect.Request[jywire.HandOverRequest]) (*connect.Response[jywire.HandOverResponse], error) {
+	h := jypeer.HandOverFromWire(q.Msg)
+	if err := r.config.Ledger.Take(h); err != nil {
+		return nil, connect.NewError(connect.CodeFailedPrecondition, err)
+	}
+	self := r.config.Fleet.Self()
+	run := jymember.Run{Name: self.Name, Boot: self.Boot}
+	from := jymember.Run{Name: jymember.Name(h.Issuer.Instance), Boot: jymember.Boot(h.Issuer.Boot)}
+	r.config.Fleet.AddSuccession(jymember.Succession{From: from, To: run})
+	jylog.HandOverTaken.Log(h.Issuer.Instance, len(h.Records))
+	return connect.NewResponse(&jywire.HandOverResponse{Successor: jypeer.RunToWire(run)}), nil
+}
--- /dev/null
+++ b/internal/jyrelease/release.go
@@ -0,0 +1,313 @@
+package jyrelease
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/jackdawyard/jackdawyard/internal/jylog"
+	"github.com/jackdawyard/jackdawyard/internal/jypeer"
+	"github.com/jackdawyard/jackdawyard/internal/jyplatform"
+	"github.com/jackdawyard/jackdawyard/internal/jywire"
+	"github.com/jackdawyard/jackdawyard/pkg/jymember"
+	"github.com/jackdawyard/jackdawyard/pkg/jynote"
+)
+
+// Platform is what is read of the configuration service.
+type Platform interface {
+	Head(ctx context.Context, after jynote.Number, wait time.Duration) (jyplatform.Head, error)
+	Note(ctx context.Context, n jynote.Number) ([]byte, error)
+	Instances(ctx context.Context) (jyplatform.InstanceList, error)
+}
+
+// Fleet is what is asked of the membership.
+type Fleet interface {
+	Self() jymember.Member
+	SyncList(list []jymember.Seed)
+	Others(count int) []jymember.Member
+	Ranked(key string, count int, only func(jymember.Member) bool) []jymember.Member
+}
+
+// Config sets up a Release.
+type Config struct {
+	Platform          Platform
+	Clients           *jypeer.Clients
+	WatchWait         time.Duration
+	PollInterval      time.Duration
+	PeerTimeout       time.Duration
+	WatchersPerCentre int
+	// OnState is called with each state that comes into force, in order.
+	OnState func(jynote.State)
+}
+
+const (
+	// announceTo is the number of peers that are told at once; the others hear from those.
+	announceTo  = 6
+	firstDelay  = 50 * time.Millisecond
+	electionTry = time.Second
+)
+
+// Release holds what is in force at this instance.
+type Release struct {
+	config   Config
+	fleet    Fleet
+	mu       sync.Mutex
+	sequence *jynote.Sequence
+	peerMark map[string]jypeer.Mark // marks under the same number with other content, by address
+	fetching atomic.Bool
+	compared atomic.Bool
+	away     atomic.Bool
+}
+
+// New returns a release with nothing in force; SetFleet must follow.
+func New(c Config) *Release {
+	return &Release{config: c, sequence: jynote.NewSequence(), peerMark: map[string]jypeer.Mark{}}
+}
+
+// SetFleet tells the membership, which in turn needs this release's mark.
+func (r *Release) SetFleet(f Fleet) { r.fleet = f }
+
+// Mark returns the note in force.
+func (r *Release) Mark() jypeer.Mark {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.sequence.State()
+	return jypeer.Mark{Number: s.Number, Digest: s.Digest}
+}
+
+// IsReady reports whether the instance has compared with its peers and has a note in force.
+func (r *Release) IsReady() bool { return r.compared.Load() && r.Mark().Number > 0 }
+
+// Status is what an operator sees of the release notes.
+type Status struct {
+	Number    jynote.Number
+	Digest    string
+	Refused   []jynote.Refusal
+	Conflicts []jynote.Refusal
+	// PeerConflicts names peers that hold other content under the same number.
+	PeerConflicts []string
+	ServiceAway   bool
+}
+
+// Status returns what an operator sees.
+func (r *Release) Status() Status {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.sequence.State()
+	out := Status{Number: s.Number, Digest: s.Digest.String(), Refused: s.Refused, Conflicts: r.sequence.Conflicts(), ServiceAway: r.away.Load()}
+	for address, m := range r.peerMark {
+		if m.Number == s.Number {
+			out.PeerConflicts = append(out.PeerConflicts, address)
+		}
+	}
+	return out
+}
+
+// Run compares with peers, then watches the configuration service whenever that falls to this instance.
+func (r *Release) Run(ctx context.Context) error {
+	r.compare(ctx)
+	delay := firstDelay
+	for ctx.Err() == nil {
+		if !r.isWatcher() {
+			wait(ctx, electionTry)
+			continue
+		}
+		if r.watch(ctx) {
+			delay = firstDelay
+			continue
+		}
+		wait(ctx, delay+rand.N(delay))
+		delay = min(2*delay, r.config.PollInterval)
+	}
+	return nil
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// isWatcher reports whether this instance is among those of its data centre that watch for the others.
+func (r *Release) isWatcher() bool {
+	self := r.fleet.Self()
+	sameCentre := func(m jymember.Member) bool { return m.DataCentre == self.DataCentre }
+	for _, m := range r.fleet.Ranked("watch/"+self.DataCentre, r.config.WatchersPerCentre, sameCentre) {
+		if m.Name == self.Name {
+			return true
+		}
+	}
+	return false
+}
+
+// watch waits for a change, reads it and reports whether the service answered.
+func (r *Release) watch(ctx context.Context) bool {
+	number := r.Mark().Number
+	head, err := r.config.Platform.Head(ctx, number, r.config.WatchWait)
+	if err != nil {
+		r.noteAway(ctx, err)
+		return false
+	}
+	if r.away.Swap(false) {
+		jylog.PlatformReachable.Log()
+	}
+	if head.Number <= number {
+		return true
+	}
+	return r.read(ctx, number, head)
+}
+
+func (r *Release) noteAway(ctx context.Context, err error) {
+	if ctx.Err() == nil && !r.away.Swap(true) {
+		jylog.PlatformUnreachable.Log(err)
+	}
+}
+
+// read offers the notes from the one after number, or from the base note, up to the head.
+func (r *Release) read(ctx context.Context, number jynote.Number, head jyplatform.Head) bool {
+	first := number + 1
+	if head.Base > first {
+		first = head.Base
+	}
+	for n := first; n <= head.Number; n++ {
+		raw, err := r.config.Platform.Note(ctx, n)
+		if err != nil {
+			return r.missing(ctx, n, err)
+		}
+		r.Offer(n, raw)
+	}
+	return true
+}
+
+// missing deals with a gap: the number is asked for again after a delay.
+func (r *Release) missing(ctx context.Context, n jynote.Number, err error) bool {
+	var e *jyplatform.Error
+	if errors.As(err, &e) && e.Kind == jyplatform.Missing {
+		jylog.NoteWaiting.Log(n+1, r.Mark().Number)
+		return false
+	}
+	r.noteAway(ctx, err)
+	return false
+}
+
+// Offer takes a note from the configuration service.
+func (r *Release) Offer(n jynote.Number, raw []byte) {
+	r.change("ConfigurationService", func() {
+		verdict, err := r.sequence.Offer(n, raw)
+		switch verdict {
+		case jynote.Refused:
+			jylog.NoteRefused.Log(n, err)
+		case jynote.Conflict:
+			jylog.NoteConflict.Log(n, err)
+		}
+	})
+}
+
+// change lets f alter the sequence, and puts in force and passes on what comes of it.
+func (r *Release) change(source string, f func()) {
+	r.mu.Lock()
+	before := r.sequence.State().Number
+	f()
+	state := r.sequence.State()
+	if state.Number > before {
+		jylog.NoteApplied.Log(state.Number, state.Digest, source)
+		r.config.OnState(state)
+	}
+	r.mu.Unlock()
+	if state.Number > before {
+		r.announce(jypeer.Mark{Number: state.Number, Digest: state.Digest})
+	}
+}
+
+// announce tells some peers, each of which tells others when it has taken the state over.
+func (r *Release) announce(m jypeer.Mark) {
+	self := r.fleet.Self()
+	for _, p := range r.fleet.Others(announceTo) {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), r.config.PeerTimeout)
+			defer cancel()
+			// A lost announcement is made up for by the next heartbeat.
+			_, _ = r.config.Clients.At(p.Address).Announce(ctx, connect.NewRequest(&jywire.AnnounceRequest{
+				SenderAddress: self.Address, Note: jypeer.MarkToWire(m),
+			}))
+		}()
+	}
+}
+
+// OnMark compares a peer's mark with what is in force here, and fetches what is newer.
+func (r *Release) OnMark(address string, m jypeer.Mark) {
+	own := r.Mark()
+	if m.Number == own.Number && m.Number > 0 && m.Digest != own.Digest {
+		r.disagree(address, own, m)
+		return
+	}
+	if m.Number > own.Number && r.compared.Load() && !r.fetching.Swap(true) {
+		go func() {
+			defer r.fetching.Store(false)
+			r.fetch(context.Background(), address)
+		}()
+	}
+}
+
+func (r *Release) disagree(address string, own, other jypeer.Mark) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.peerMark[address] == other {
+		return
+	}
+	r.peerMark[address] = other
+	jylog.PeerDisagrees.Log(address, own.Number, own.Digest, other.Digest)
+}
+
+// answer is what came of asking one peer for its state.
+type answer struct {
+	reached bool
+	ready   bool
+}
+
+func (r *Release) fetch(ctx context.Context, address string) answer {
+	ctx, cancel := context.WithTimeout(ctx, r.config.PeerTimeout)
+	defer cancel()
+	resp, err := r.config.Clients.At(address).FetchState(ctx, connect.NewRequest(&jywire.FetchStateRequest{Above: uint64(r.Mark().Number)}))
+	if err != nil {
+		return answer{}
+	}
+	out := answer{reached: true, ready: resp.Msg.GetReady()}
+	if len(resp.Msg.GetState()) == 0 {
+		return out
+	}
+	state, err := jynote.DecodeState(resp.Msg.GetState())
+	if err != nil {
+		return answer{}
+	}
+	r.change("Peer "+address, func() { r.sequence.Adopt(state) })
+	return out
+}
+
+// Announce answers a peer that has put a note in force.
+func (r *Release) Announce(_ context.Context, q *connect.Request[jywire.AnnounceRequest]) (*connect.Response[jywire.AnnounceResponse], error) {
+	r.OnMark(q.Msg.GetSenderAddress(), jypeer.MarkFromWire(q.Msg.GetNote()))
+	return connect.NewResponse(&jywire.AnnounceResponse{}), nil
+}
+
+// FetchState answers a peer that asks for the state in force.
+func (r *Release) FetchState(_ context.Context, q *connect.Request[jywire.FetchStateRequest]) (*connect.Response[jywire.FetchStateResponse], error) {
+	r.mu.Lock()
+	state := r.sequence.State()
+	r.mu.Unlock()
+	out := &jywire.FetchStateResponse{Ready: r.IsReady()}
+	if uint64(state.Number) > q.Msg.GetAbove() {
+		raw, err := state.Encode()
+		if err != nil {
+			return nil, connect.NewError(connect.CodeInternal, err)
+		}
+		out.State = raw
+	}
+	return connect.NewResponse(out), nil
+}
--- /dev/null
+++ b/internal/jysettings/errors.go
@@ -0,0 +1,19 @@
+package jysettings
+
+import "github.com/jackdawyard/jackdawyard/pkg/jyfault"
+
+// ErrorKind classifies the errors of this package.
+type ErrorKind string
+
+// The kinds of error.
+const (
+	Unreadable ErrorKind = "Unreadable"
+	Malformed  ErrorKind = "Malformed"
+)
+
+// Error is the error type of this package.
+type Error = jyfault.Error[ErrorKind]
+
+func newError(op string, k ErrorKind, format string, args ...any) *Error {
+	return jyfault.New(op, k, format, args...)
+}
--- /dev/null
+++ b/internal/jysettings/key.go
@@ -0,0 +1,103 @@
+package jysettings
+
+import (
+	"fmt"
+	"net/netip"
+	"net/url"
+	"strconv"
+	"time"
+)
+
+// Key describes one settings key.
+type Key struct {
+	Section string
+	Name    string
+	Unit    string
+	Default string // empty means that the key is required, unless Optional
+	// Optional marks a key that may stay empty.
+	Optional bool
+	Allowed  string
+	Meaning  string
+	set      func(s *Settings, value string) error
+}
+
+func text(field func(*Settings) *string) func(*Settings, string) error {
+	return func(s *Settings, v string) error {
+		*field(s) = v
+		return nil
+	}
+}
+
+func address(field func(*Settings) *string) func(*Settings, string) error {
+	return func(s *Settings, v string) error {
+		if _, err := netip.ParseAddrPort(v); err != nil {
+			return fmt.Errorf("%q is not an IP number and a port", v)
+		}
+		*field(s) = v
+		return nil
+	}
+}
+
+func link(field func(*Settings) *string) func(*Settings, string) error {
+	return func(s *Settings, v string) error {
+		u, err := url.Parse(v)
+		if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
+			return fmt.Errorf("%q is not an http or https address", v)
+		}
+		*field(s) = v
+		return nil
+	}
+}
+
+func duration(low, high time.Duration, field func(*Settings) *time.Duration) func(*Settings, string) error {
+	return func(s *Settings, v string) error {
+		d, err := time.ParseDuration(v)
+		if err != nil {
+			return fmt.Errorf("%q is not a time with a unit", v)
+		}
+		if d < low || d > high {
+			return fmt.Errorf("%s is out of range", d)
+		}
+		*field(s) = d
+		return nil
+	}
+}
+
+func whole[T int | int64](low, high T, field func(*Settings) *T) func(*Settings, string) error {
+	return func(s *Settings, v string) error {
+		n, err := strconv.ParseInt(v, 10, 64)
+		if err != nil {
+			return fmt.Errorf("%q is not a whole number", v)
+		}
+		if T(n) < low || T(n) > high {
+			return fmt.Errorf("%d is out of range", n)
+		}
+		*field(s) = T(n)
+		return nil
+	}
+}
+
+func number(low, high float64, field func(*Settings) *float64) func(*Settings, string) error {
+	return func(s *Settings, v string) error {
+		n, err := strconv.ParseFloat(v, 64)
+		if err != nil {
+			return fmt.Errorf("%q is not a number", v)
+		}
+		if !(n >= low && n <= high) {
+			return fmt.Errorf("%g is out of range", n)
+		}
+		*field(s) = n
+		return nil
+	}
+}
+
+func flag(field func(*Settings) *bool) func(*Settings, string) error {
+	return func(s *Settings, v string) error {
+		b, err := strconv.ParseBool(v)
+		if err != nil {
+			return fmt.Errorf("%q is not true or false", v)
+		}
+		*field(s) = b
+		return nil
+	}
+}
--- /dev/null
+++ b/internal/jystandin/backend_server.go
@@ -0,0 +1,287 @@
+package jystandin
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"maps"
+	"math"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// ServerConfig sets up a BackendServer.
+type ServerConfig struct {
+	Name    string
+	Address string
+	Slots   int
+	Queue   int // requests that wait for a slot before load is shed
+	Latency time.Duration
+	Spread  float64 // standard deviation of the latency's logarithm
+}
+
+// BackendServer is a stand-in for one backend server.
+type BackendServer struct {
+	config   ServerConfig
+	slots    chan struct{}
+	waiting  atomic.Int64
+	requests atomic.Uint64
+	shed     atomic.Uint64
+
+	mu      sync.Mutex
+	fault   Fault
+	since   time.Time
+	away    time.Time
+	effects map[string]int
+	open    map[net.Conn]bool // to whether the connection is silenced
+}
+
+// NewBackendServer returns a stand-in without fault.
+func NewBackendServer(c ServerConfig) *BackendServer {
+	return &BackendServer{
+		config: c, slots: make(chan struct{}, c.Slots), effects: map[string]int{}, open: map[net.Conn]bool{},
+	}
+}
+
+type connectionKey struct{}
+
+// Run serves until ctx ends.
+func (b *BackendServer) Run(ctx context.Context) error {
+	server := &http.Server{
+		Handler:           b,
+		ReadHeaderTimeout: time.Minute,
+		ConnState:         b.track,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, connectionKey{}, c)
+		},
+	}
+	listener, err := net.Listen("tcp", b.config.Address)
+	if err != nil {
+		return newError("run backend server", Unreachable, "%w", err)
+	}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	if err := server.Serve(listener); err != nil && ctx.Err() == nil {
+		return newError("run backend server", Unreachable, "%w", err)
+	}
+	return nil
+}
+
+func (b *BackendServer) track(c net.Conn, s http.ConnState) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	switch s {
+	case http.StateNew:
+		if time.Now().Before(b.away) {
+			_ = c.Close()
+			return
+		}
+		b.open[c] = false
+	case http.StateClosed, http.StateHijacked:
+		delete(b.open, c)
+	}
+}
+
+// ServeHTTP answers one request, or misbehaves.
+func (b *BackendServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch r.URL.Path {
+	case FaultPath:
+		b.setFault(w, r)
+		return
+	case CountsPath:
+		writeJSON(w, b.Counts())
+		return
+	case HealthPath:
+		w.WriteHeader(http.StatusOK)
+		return
+	}
+	b.requests.Add(1)
+	if b.isSilenced(r) {
+		b.hang(r)
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	fault := b.currentFault()
+	if fault.CrashOn != "" && bytes.Contains(body, []byte(fault.CrashOn)) {
+		b.crash(time.Duration(fault.CrashMilliseconds) * time.Millisecond)
+	}
+	if !b.takeSlot(r.Context()) {
+		b.refuse(w)
+		return
+	}
+	defer func() { <-b.slots }()
+	b.work(w, r, body, fault)
+}
+
+func (b *BackendServer) takeSlot(ctx context.Context) bool {
+	select {
+	case b.slots <- struct{}{}:
+		return true
+	default:
+	}
+	if b.waiting.Add(1) > int64(b.config.Queue) {
+		b.waiting.Add(-1)
+		return false
+	}
+	defer b.waiting.Add(-1)
+	select {
+	case b.slots <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (b *BackendServer) refuse(w http.ResponseWriter) {
+	b.shed.Add(1)
+	w.Header().Set(ShedHeader, MarkValue)
+	w.Header().Set(NotRunHeader, MarkValue)
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func (b *BackendServer) work(w http.ResponseWriter, r *http.Request, body []byte, f Fault) {
+	hit := rand.Float64()
+	if f.EffectBeforeFault || hit >= f.FailShare+f.LoseShare+f.HangShare {
+		b.takeEffect(r)
+	}
+	b.sleep(r.Context(), f)
+	switch {
+	case hit < f.FailShare:
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	case hit < f.FailShare+f.LoseShare:
+		panic(http.ErrAbortHandler)
+	case hit < f.FailShare+f.LoseShare+f.HangShare:
+		b.hang(r)
+	}
+	if f.Draining {
+		w.Header().Set(DrainHeader, MarkValue)
+	}
+	b.answer(w, r, body)
+}
+
+func (b *BackendServer) answer(w http.ResponseWriter, r *http.Request, body []byte) {
+	sum := sha256.Sum256(body)
+	echo := Echo{
+		Token: r.Header.Get(TokenHeader), Server: b.config.Name,
+		BodyBytes: len(body), BodySum: hex.EncodeToString(sum[:8]),
+	}
+	if n, err := strconv.Atoi(r.URL.Query().Get("Padding")); err == nil && n > 0 && n <= 1<<24 {
+		echo.Padding = strings.Repeat("x", n)
+	}
+	w.Header().Set(ServerHeader, b.config.Name)
+	writeJSON(w, echo)
+}
+
+func (b *BackendServer) takeEffect(r *http.Request) {
+	if r.Method == http.MethodGet || r.Method == http.MethodHead {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.effects[r.Header.Get(TokenHeader)]++
+}
+
+func (b *BackendServer) sleep(ctx context.Context, f Fault) {
+	d := float64(b.config.Latency) * math.Exp(b.config.Spread*rand.NormFloat64())
+	if f.SlowFactor > 0 {
+		d *= f.SlowFactor
+	}
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(time.Duration(d))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// hang holds the request until its client gives up.
+func (b *BackendServer) hang(r *http.Request) {
+	<-r.Context().Done()
+	panic(http.ErrAbortHandler)
+}
+
+func (b *BackendServer) isSilenced(r *http.Request) bool {
+	c, ok := r.Context().Value(connectionKey{}).(net.Conn)
+	if !ok {
+		return false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.open[c]
+}
+
+func (b *BackendServer) crash(away time.Duration) {
+	b.mu.Lock()
+	b.away = time.Now().Add(away)
+	for c := range b.open {
+		_ = c.Close()
+	}
+	b.mu.Unlock()
+	panic(http.ErrAbortHandler)
+}
+
+func (b *BackendServer) currentFault() Fault {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.fault.isOn(time.Now(), b.since) {
+		return b.fault
+	}
+	return Fault{CrashOn: b.fault.CrashOn, CrashMilliseconds: b.fault.CrashMilliseconds}
+}
+
+// SetFault replaces the fault.
+func (b *BackendServer) SetFault(f Fault) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.fault, b.since = f, time.Now()
+	for c := range b.open {
+		if rand.Float64() < f.SilenceShare {
+			b.open[c] = true
+		}
+	}
+}
+
+func (b *BackendServer) setFault(w http.ResponseWriter, r *http.Request) {
+	var f Fault
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	b.SetFault(f)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// Counts returns what was counted so far.
+func (b *BackendServer) Counts() Counts {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return Counts{
+		Server: b.config.Name, Requests: b.requests.Load(), Shed: b.shed.Load(), Effects: maps.Clone(b.effects),
+	}
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	raw, err := json.Marshal(v)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(raw)))
+	_, _ = w.Write(raw)
+}
--- /dev/null
+++ b/main.go
@@ -0,0 +1,11 @@
+package main
+
+import (
+	"os"
+
+	"github.com/jackdawyard/jackdawyard/internal/jycommand"
+)
+
+func main() {
+	os.Exit(jycommand.Main(os.Args))
+}
--- /dev/null
+++ b/pkg/jyblock/doc.go
@@ -0,0 +1,2 @@
+// Package jyblock finds requests that end the backend servers that run them, and blocks them.
+package jyblock
--- /dev/null
+++ b/pkg/jyblock/list.go
@@ -0,0 +1,117 @@
+package jyblock
+
+import (
+	"slices"
+	"time"
+)
+
+// Fingerprint is a digest of what a request asks for.
+type Fingerprint [32]byte
+
+// ServerName identifies a backend server.
+type ServerName string
+
+// Limits of a List.
+const (
+	// serversToBlock is the number of backend servers that an idempotent request may end before it is blocked.
+	serversToBlock = 2
+	// MaxSuspects bounds the fingerprints remembered; the oldest makes room.
+	MaxSuspects = 4096
+)
+
+// Config sets up a List.
+type Config struct {
+	// Memory is how long a fingerprint stays under suspicion or blocked.
+	Memory time.Duration
+}
+
+// List holds the requests under suspicion; it is not safe for concurrent use.
+type List struct {
+	config   Config
+	suspects map[Fingerprint]*suspect
+	order    []Fingerprint
+}
+
+type suspect struct {
+	servers []ServerName
+	blocked bool
+	until   time.Time
+}
+
+// New returns an empty list.
+func New(c Config) *List {
+	return &List{config: c, suspects: map[Fingerprint]*suspect{}}
+}
+
+// Len returns the number of requests under suspicion, so that callers can spare a fingerprint where there are none.
+func (l *List) Len() int { return len(l.suspects) }
+
+// IsBlocked reports whether a request must not run.
+func (l *List) IsBlocked(now time.Time, f Fingerprint) bool {
+	s := l.suspects[f]
+	return s != nil && s.blocked && now.Before(s.until)
+}
+
+// Crashed records that a backend server ended while it ran the request; a non-idempotent one is blocked at once.
+func (l *List) Crashed(now time.Time, f Fingerprint, server ServerName, idempotent bool) (blocked bool) {
+	s := l.suspect(now, f)
+	if !slices.Contains(s.servers, server) {
+		s.servers = append(s.servers, server)
+	}
+	s.blocked = s.blocked || !idempotent || len(s.servers) >= serversToBlock
+	return s.blocked
+}
+
+// Merge takes what a peer holds of a request.
+func (l *List) Merge(now time.Time, f Fingerprint, servers []ServerName, blocked bool) {
+	s := l.suspect(now, f)
+	for _, v := range servers {
+		if !slices.Contains(s.servers, v) {
+			s.servers = append(s.servers, v)
+		}
+	}
+	s.blocked = s.blocked || blocked || len(s.servers) >= serversToBlock
+}
+
+// Completed clears a request that a backend server answered: what ran beside it was to blame.
+func (l *List) Completed(f Fingerprint) {
+	if s := l.suspects[f]; s != nil && !s.blocked {
+		l.remove(f)
+	}
+}
+
+// Servers returns the backend servers that a request ended.
+func (l *List) Servers(f Fingerprint) []ServerName {
+	if s := l.suspects[f]; s != nil {
+		return slices.Clone(s.servers)
+	}
+	return nil
+}
+
+func (l *List) suspect(now time.Time, f Fingerprint) *suspect {
+	l.expire(now)
+	s := l.suspects[f]
+	if s == nil {
+		s = &suspect{}
+		l.suspects[f] = s
+		l.order = append(l.order, f)
+	}
+	s.until = now.Add(l.config.Memory)
+	if len(l.order) > MaxSuspects {
+		l.remove(l.order[0])
+	}
+	return s
+}
+
+func (l *List) expire(now time.Time) {
+	for _, f := range slices.Clone(l.order) {
+		if !now.Before(l.suspects[f].until) {
+			l.remove(f)
+		}
+	}
+}
+
+func (l *List) remove(f Fingerprint) {
+	delete(l.suspects, f)
+	l.order = slices.DeleteFunc(l.order, func(v Fingerprint) bool { return v == f })
+}
--- /dev/null
+++ b/pkg/jydedup/hand_over.go
@@ -0,0 +1,87 @@
+package jydedup
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// HandOver carries the ids of one issuer from a process that shuts down to its successor.
+type HandOver struct {
+	Issuer  Issuer
+	Secret  []byte
+	Elapsed time.Duration // since the issuer's boot
+	Records []HandedRecord
+}
+
+// HandedRecord is one used id in a HandOver.
+type HandedRecord struct {
+	Sequence    uint64
+	Age         time.Duration
+	Caller      Caller
+	Fingerprint Fingerprint
+	Result      Result
+}
+
+// Seal makes the ledger start nothing more, and it can't be undone; running requests go on.
+func (l *Ledger) Seal() { l.sealed = true }
+
+// Export returns what a successor needs; it must be offered to one successor only, and only after Seal, when nothing runs.
+func (l *Ledger) Export(now time.Time) ([]HandOver, error) {
+	const op = "export request ids"
+	if !l.sealed {
+		return nil, newError(op, Misused, "the ledger is not sealed")
+	}
+	if n := l.Running(); n > 0 {
+		return nil, newError(op, Misused, "%d requests still run", n)
+	}
+	list := make([]HandOver, 0, len(l.estates))
+	for _, e := range l.estates {
+		list = append(list, e.export(now))
+	}
+	slices.SortFunc(list, func(a, b HandOver) int {
+		return cmp.Or(cmp.Compare(a.Issuer.Instance, b.Issuer.Instance), cmp.Compare(a.Issuer.Boot, b.Issuer.Boot))
+	})
+	return list, nil
+}
+
+func (e *estate) export(now time.Time) HandOver {
+	h := HandOver{Issuer: e.issuer, Secret: e.secret, Elapsed: now.Sub(e.origin)}
+	for _, sequence := range e.order {
+		r := e.used[sequence]
+		h.Records = append(h.Records, HandedRecord{
+			Sequence: sequence, Age: r.age, Caller: r.caller, Fingerprint: r.fingerprint, Result: r.result,
+		})
+	}
+	return h
+}
+
+// Take makes the ledger decide about the ids of another issuer from now on; its errors are of kind Misused.
+func (l *Ledger) Take(now time.Time, h HandOver) error {
+	const op = "take request ids over"
+	if l.sealed {
+		return newError(op, Misused, "this ledger is sealed itself")
+	}
+	if l.estates[h.Issuer] != nil {
+		return newError(op, Misused, "ids of %s are decided here already", h.Issuer.Instance)
+	}
+	e := &estate{issuer: h.Issuer, secret: h.Secret, origin: now.Add(-h.Elapsed), handed: h.Elapsed, used: map[uint64]*record{}}
+	for _, r := range h.Records {
+		e.used[r.Sequence] = &record{caller: r.Caller, fingerprint: r.Fingerprint, age: r.Age, result: r.Result}
+		e.order = append(e.order, r.Sequence)
+	}
+	l.estates[h.Issuer] = e
+	l.records += len(h.Records)
+	return nil
+}
+
+// Forget drops the ids of issuers whose every id has outlived its retention.
+func (l *Ledger) Forget(now time.Time) {
+	for issuer, e := range l.estates {
+		l.expire(now, e)
+		// The issuer's last id is at least as old as the hand-over.
+		if issuer != l.config.Self && len(e.used) == 0 && now.Sub(e.origin)-e.handed > l.config.Lifetime+l.config.Retention {
+			delete(l.estates, issuer)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/jydetector/sum.go
@@ -0,0 +1,40 @@
+package jydetector
+
+// sum is one cumulative sum test, with the share that each reporter has in its present excursion above zero.
+type sum struct {
+	score float64
+	parts []float64 // by reporter index
+}
+
+func (s *sum) add(reporter int, llr float64) {
+	for len(s.parts) <= reporter {
+		s.parts = append(s.parts, 0)
+	}
+	s.parts[reporter] += llr
+	s.score += llr
+	if s.score <= 0 {
+		s.reset()
+	}
+}
+
+func (s *sum) reset() {
+	s.score = 0
+	clear(s.parts)
+}
+
+// withoutLargest returns the score less the largest part that any one key of the reporters holds.
+func (s *sum) withoutLargest(keyOf func(reporter int) int) float64 {
+	byKey := make([]float64, 0, len(s.parts))
+	for i, p := range s.parts {
+		k := keyOf(i)
+		for len(byKey) <= k {
+			byKey = append(byKey, 0)
+		}
+		byKey[k] += p
+	}
+	largest := 0.0
+	for _, p := range byKey {
+		largest = max(largest, p)
+	}
+	return s.score - largest
+}
--- /dev/null
+++ b/pkg/jymember/gossip.go
@@ -0,0 +1,52 @@
+package jymember
+
+import (
+	"cmp"
+	"math/bits"
+	"slices"
+)
+
+// rumour is an update on its way through the fleet.
+type rumour struct {
+	key    string
+	update Update
+	sent   int
+}
+
+// spread queues an update and drops older news under the same key.
+func (t *Table) spread(key string, u Update) {
+	t.rumours = slices.DeleteFunc(t.rumours, func(r rumour) bool { return r.key == key })
+	t.rumours = append(t.rumours, rumour{key: key, update: u})
+}
+
+// roundsFactor is how many times the logarithm of the fleet's size an update is sent.
+const roundsFactor = 4
+
+// Updates returns the news to send with a call, the least sent first, at most Config.UpdatesPerCall.
+func (t *Table) Updates() []Update {
+	limit := roundsFactor * bits.Len(uint(len(t.entries)+1))
+	slices.SortStableFunc(t.rumours, func(a, b rumour) int { return cmp.Compare(a.sent, b.sent) })
+	n := min(len(t.rumours), t.config.UpdatesPerCall)
+	out := make([]Update, 0, n)
+	for i := range n {
+		out = append(out, t.rumours[i].update)
+		t.rumours[i].sent++
+	}
+	t.rumours = slices.DeleteFunc(t.rumours, func(r rumour) bool { return r.sent >= limit })
+	return out
+}
+
+// Everything returns all that is known, for a member that has just started.
+func (t *Table) Everything() []Update {
+	out := make([]Update, 0, len(t.entries)+len(t.successions)+1)
+	self := t.self
+	out = append(out, Update{Member: &self})
+	for _, n := range t.names() {
+		m := t.entries[n].Member
+		out = append(out, Update{Member: &m})
+	}
+	for _, s := range t.sortedSuccessions() {
+		out = append(out, Update{Succession: &s})
+	}
+	return out
+}
--- /dev/null
+++ b/pkg/jynote/fault.go
@@ -0,0 +1,34 @@
+package jynote
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Fault is one thing that is wrong with a release note, with the place and what is allowed there.
+type Fault struct {
+	Place   string
+	Problem string
+	Allowed string
+}
+
+// String returns the fault on one line.
+func (f Fault) String() string {
+	return fmt.Sprintf("%s: %s (allowed: %s)", f.Place, f.Problem, f.Allowed)
+}
+
+// Faults lists everything that is wrong with a release note.
+type Faults []Fault
+
+// Error returns all faults, separated by semicolons.
+func (fs Faults) Error() string {
+	lines := make([]string, 0, len(fs))
+	for _, f := range fs {
+		lines = append(lines, f.String())
+	}
+	return strings.Join(lines, "; ")
+}
+
+func (fs *Faults) add(place, allowed, format string, args ...any) {
+	*fs = append(*fs, Fault{Place: place, Allowed: allowed, Problem: fmt.Sprintf(format, args...)})
+}
--- /dev/null
+++ b/pkg/jynote/note.go
@@ -0,0 +1,57 @@
+package jynote
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/json"
+	"io"
+)
+
+// MaxNoteBytes is the size of the largest value that the configuration service holds.
+const MaxNoteBytes = 1 << 20
+
+// Entries are the parts of a release note that name what is added or changed.
+type Entries struct {
+	Services       []Service       `json:",omitempty"`
+	BackendServers []BackendServer `json:",omitempty"`
+	Routes         []Route         `json:",omitempty"`
+}
+
+// Names are the parts of a release note that name what is withdrawn.
+type Names struct {
+	Services       []ServiceName `json:",omitempty"`
+	BackendServers []ServerName  `json:",omitempty"`
+	Routes         []RouteName   `json:",omitempty"`
+}
+
+// Note is one release note.
+type Note struct {
+	Number Number
+	Title  string
+	// Base marks a note that states everything: it may follow any lower number.
+	Base      bool    `json:",omitempty"`
+	Added     Entries `json:",omitzero"`
+	Changed   Entries `json:",omitzero"`
+	Withdrawn Names   `json:",omitzero"`
+}
+
+// Parse reads one release note from JSON; its errors are of kind Malformed.
+func Parse(raw []byte) (Note, error) {
+	const op = "parse release note"
+	var n Note
+	if len(raw) > MaxNoteBytes {
+		return n, newError(op, Malformed, "%d bytes, at most %d allowed", len(raw), MaxNoteBytes)
+	}
+	d := json.NewDecoder(bytes.NewReader(raw))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&n); err != nil {
+		return n, newError(op, Malformed, "%w", err)
+	}
+	if _, err := d.Token(); err != io.EOF {
+		return n, newError(op, Malformed, "text after the document")
+	}
+	return n, nil
+}
+
+// DigestOf returns the digest of a note's published bytes.
+func DigestOf(raw []byte) Digest { return sha256.Sum256(raw) }
--- /dev/null
+++ b/pkg/jynote/state.go
@@ -0,0 +1,134 @@
+package jynote
+
+import (
+	"crypto/sha256"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// State is what the release notes up to Number lead to; its lists are sorted by name and must not be modified.
+type State struct {
+	Number Number
+	// Digest identifies the whole sequence of notes since the last base note.
+	Digest         Digest
+	Services       []Service
+	BackendServers []BackendServer
+	Routes         []Route
+	// Refused lists the latest notes that were refused for their content, oldest first.
+	Refused []Refusal `json:",omitempty"`
+}
+
+// Encode returns the state as JSON, for a peer that starts.
+func (s State) Encode() ([]byte, error) { return json.Marshal(s) }
+
+// DecodeState reads what Encode wrote.
+func DecodeState(raw []byte) (State, error) {
+	var s State
+	if err := json.Unmarshal(raw, &s); err != nil {
+		return State{}, newError("decode state", Malformed, "%w", err)
+	}
+	return s, nil
+}
+
+// Service returns the service of that name.
+func (s State) Service(name ServiceName) (Service, bool) {
+	i, ok := slices.BinarySearchFunc(s.Services, name, func(v Service, n ServiceName) int {
+		return strings.Compare(string(v.Name), string(n))
+	})
+	if !ok {
+		return Service{}, false
+	}
+	return s.Services[i], true
+}
+
+// Apply returns the state after the note, or all faults that stand against it; the result depends on s and raw alone.
+func Apply(s State, n Note, raw []byte) (State, Faults) {
+	fs := Validate(n)
+	previous := s.Digest
+	refused := s.Refused
+	if n.Base {
+		s = State{}
+		previous = Digest{}
+	}
+	services := table[ServiceName, Service]{kind: "Services", name: func(v Service) ServiceName { return v.Name }}
+	servers := table[ServerName, BackendServer]{kind: "BackendServers", name: func(v BackendServer) ServerName { return v.Name }}
+	routes := table[RouteName, Route]{kind: "Routes", name: func(v Route) RouteName { return v.Name }}
+	next := State{
+		Number:         n.Number,
+		Services:       services.apply(s.Services, n.Added.Services, n.Changed.Services, n.Withdrawn.Services, &fs),
+		BackendServers: servers.apply(s.BackendServers, n.Added.BackendServers, n.Changed.BackendServers, n.Withdrawn.BackendServers, &fs),
+		Routes:         routes.apply(s.Routes, n.Added.Routes, n.Changed.Routes, n.Withdrawn.Routes, &fs),
+		Refused:        refused,
+	}
+	next.checkReferences(&fs)
+	if len(fs) > 0 {
+		return s, fs
+	}
+	own := DigestOf(raw)
+	next.Digest = sha256.Sum256(append(previous[:], own[:]...))
+	return next, nil
+}
+
+func (s State) checkReferences(fs *Faults) {
+	slots := map[ServiceName]int{}
+	for _, b := range s.BackendServers {
+		if _, ok := s.Service(b.Service); !ok {
+			fs.add("BackendServers "+string(b.Name), "a service in force", "service %q does not exist", b.Service)
+		}
+		slots[b.Service] += b.Slots
+	}
+	for _, r := range s.Routes {
+		if _, ok := s.Service(r.Service); !ok {
+			fs.add("Routes "+string(r.Name), "a service in force", "service %q does not exist", r.Service)
+		}
+	}
+	for _, v := range s.Services {
+		if have := slots[v.Name]; have > 0 && have < v.Floor {
+			fs.add("Services "+string(v.Name), fmt.Sprintf("a floor of at most %d", have), "floor %d is above the slots of all its backend servers", v.Floor)
+		}
+	}
+}
+
+type table[K ~string, V any] struct {
+	kind string
+	name func(V) K
+}
+
+func (t table[K, V]) apply(old, added, changed []V, withdrawn []K, fs *Faults) []V {
+	entries := make(map[K]V, len(old)+len(added))
+	for _, v := range old {
+		entries[t.name(v)] = v
+	}
+	touched := map[K]bool{}
+	touch := func(part string, k K, want bool, allowed string) {
+		_, have := entries[k]
+		if have != want || touched[k] {
+			fs.add(fmt.Sprintf("%s.%s %s", part, t.kind, k), allowed, "named twice, or not in the expected state")
+		}
+		touched[k] = true
+	}
+	for _, k := range withdrawn {
+		touch("Withdrawn", k, true, "a name in force, once in a note")
+		delete(entries, k)
+	}
+	for _, v := range changed {
+		touch("Changed", t.name(v), true, "a name in force, once in a note")
+		entries[t.name(v)] = v
+	}
+	for _, v := range added {
+		touch("Added", t.name(v), false, "a name not in force, once in a note")
+		entries[t.name(v)] = v
+	}
+	return t.sorted(entries)
+}
+
+func (t table[K, V]) sorted(entries map[K]V) []V {
+	list := make([]V, 0, len(entries))
+	for _, v := range entries {
+		list = append(list, v)
+	}
+	slices.SortFunc(list, func(a, b V) int { return strings.Compare(string(t.name(a)), string(t.name(b))) })
+	return list
+}
--- /dev/null
+++ b/pkg/jyoutcome/refusal.go
@@ -0,0 +1,58 @@
+package jyoutcome
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// ProblemContentType is the media type of a refusal's body (RFC 9457).
+const ProblemContentType = "application/problem+json"
+
+// Refusal is an answer that the fleet itself gives in place of a backend server's.
+type Refusal struct {
+	Outcome    Outcome
+	Reason     Reason
+	Status     int
+	Detail     string
+	RetryAfter time.Duration // zero when asking again would not help
+}
+
+type problem struct {
+	Type    string  `json:"type"`
+	Title   string  `json:"title"`
+	Status  int     `json:"status"`
+	Detail  string  `json:"detail,omitempty"`
+	Outcome Outcome `json:"outcome"`
+	Reason  Reason  `json:"reason"`
+}
+
+// Write sends the refusal as a complete HTTP response with its outcome header and problem body.
+func (r Refusal) Write(w http.ResponseWriter) error {
+	h := w.Header()
+	h.Set(Header, string(r.Outcome))
+	h.Set("Content-Type", ProblemContentType)
+	if r.RetryAfter > 0 {
+		h.Set("Retry-After", strconv.Itoa(wholeSeconds(r.RetryAfter)))
+	}
+	body, err := json.Marshal(problem{
+		Type:    "urn:jackdawyard:" + string(r.Reason),
+		Title:   http.StatusText(r.Status),
+		Status:  r.Status,
+		Detail:  r.Detail,
+		Outcome: r.Outcome,
+		Reason:  r.Reason,
+	})
+	if err != nil {
+		return err
+	}
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(r.Status)
+	_, err = w.Write(body)
+	return err
+}
+
+func wholeSeconds(d time.Duration) int {
+	return int((d + time.Second - 1) / time.Second)
+}
--- /dev/null
+++ b/pkg/jyquantile/estimator.go
@@ -0,0 +1,48 @@
+package jyquantile
+
+import "time"
+
+// Bounds of an estimate.
+const (
+	minEstimate = 50 * time.Microsecond
+	maxEstimate = 10 * time.Minute
+)
+
+// step is the relative size of a correction: an estimate moves by a factor of ten in about 230 observations at most.
+const step = 0.01
+
+// Estimator tracks one quantile of durations by multiplicative stochastic approximation; it is not safe for concurrent use.
+type Estimator struct {
+	quantile float64
+	estimate float64 // nanoseconds
+	count    uint64
+}
+
+// New returns an estimator of the quantile, between 0 and 1, that starts at first.
+func New(quantile float64, first time.Duration) *Estimator {
+	return &Estimator{quantile: quantile, estimate: float64(max(first, minEstimate))}
+}
+
+// Add takes one observation.
+func (e *Estimator) Add(d time.Duration) {
+	e.count++
+	gain := step
+	if e.count < warmUp {
+		gain = step * warmUp / float64(e.count)
+	}
+	if float64(d) > e.estimate {
+		e.estimate *= 1 + gain*e.quantile
+	} else {
+		e.estimate /= 1 + gain*(1-e.quantile)
+	}
+	e.estimate = min(max(e.estimate, float64(minEstimate)), float64(maxEstimate))
+}
+
+// warmUp is the number of observations over which corrections shrink to step.
+const warmUp = 20
+
+// Value returns the estimate.
+func (e *Estimator) Value() time.Duration { return time.Duration(e.estimate) }
+
+// Count returns the number of observations.
+func (e *Estimator) Count() uint64 { return e.count }
--- /dev/null
+++ b/pkg/jyrendezvous/rank.go
@@ -0,0 +1,46 @@
+package jyrendezvous
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Weight returns the weight of a name for a key.
+func Weight(key, name string) uint64 {
+	h := xxhash.Sum64String(key)*0x9e3779b97f4a7c15 ^ xxhash.Sum64String(name)
+	// The finalizer of MurmurHash3 spreads the two sums over all bits.
+	h ^= h >> 33
+	h *= 0xff51afd7ed558ccd
+	h ^= h >> 33
+	h *= 0xc4ceb9fe1a85ec53
+	h ^= h >> 33
+	return h
+}
+
+type weighed[N ~string] struct {
+	name   N
+	weight uint64
+}
+
+// Top returns the count names of the highest weight for the key, highest first.
+func Top[N ~string](key string, names []N, count int) []N {
+	top := make([]weighed[N], 0, count+1)
+	for _, n := range names {
+		w := weighed[N]{n, Weight(key, string(n))}
+		i, _ := slices.BinarySearchFunc(top, w, func(a, b weighed[N]) int {
+			return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.name, b.name))
+		})
+		if i >= count {
+			continue
+		}
+		top = slices.Insert(top, i, w)
+		top = top[:min(len(top), count)]
+	}
+	out := make([]N, 0, len(top))
+	for _, w := range top {
+		out = append(out, w.name)
+	}
+	return out
+}
