Prove the decisions with model-based and differential tests

Cause of the changes: in a fault of the whole service the detector ejected up to three of six healthy servers, since the share of the peers was taken from a decaying window that lags the onset, and since a withheld alarm reset one server's score alone. Now an alarm is weighed against what the peers did in the same excursion. Ruled out: a faster window, which still holds the healthy time before the onset. News of a leaving instance reached 106 of 119 after 12 rounds, because older news waited in front; the newest now goes first.

--- /dev/null
+++ b/internal/jycommand/experiment.go
@@ -0,0 +1,32 @@
+package jycommand
+
+import (
+	"context"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/jackdawyard/jackdawyard/internal/jyexperiment"
+)
+
+func experimentCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "experiment",
+		Usage: "measure the fleet's decisions in virtual time, beside plain ways of deciding",
+		Commands: []*cli.Command{
+			{
+				Name: "detection", Usage: "detection time and false ejections of gray backend servers",
+				Flags: []cli.Flag{
+					&cli.IntFlag{Name: "seeds", Value: 100},
+					&cli.DurationFlag{Name: "limit", Usage: "virtual time after which a fault counts as missed", Value: 2 * time.Minute},
+					&cli.FloatFlag{Name: "server-days", Usage: "healthy time in which false ejections are counted"},
+				},
+				Action: func(_ context.Context, c *cli.Command) error {
+					return jyexperiment.WriteDetection(c.Root().Writer, jyexperiment.DetectionOptions{
+						Seeds: int(c.Int("seeds")), Limit: c.Duration("limit"), ServerDays: c.Float("server-days"),
+					})
+				},
+			},
+		},
+	}
+}
--- a/internal/jycommand/main.go
+++ b/internal/jycommand/main.go
@@ -46,7 +46,7 @@
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 		Commands: []*cli.Command{
 			serveCommand(), checkCommand(), statusCommand(), reportCommand(), standinCommand(),
-			loadCommand(), demoCommand(), documentCommand(), versionCommand(),
+			loadCommand(), experimentCommand(), demoCommand(), documentCommand(), versionCommand(),
 		},
 	}
 }
--- a/internal/jyevidence/evidence.go
+++ b/internal/jyevidence/evidence.go
@@ -59,8 +59,8 @@
 // OnEvidence makes the next report of the service an early one.
 func (e *Evidence) OnEvidence(s jynote.ServiceName) { e.urgent.Push(s) }
 
-// urgentFraction is the part of the report interval after which failures are reported.
-const urgentFraction = 10
+// urgentFraction is the part of the report interval after which failures are reported at the latest.
+const urgentFraction = 50
 
 // pooledBy is the number of instances that a service's reports may go to: the first that answers takes them.
 const pooledBy = 2
--- a/pkg/jydetector/channel.go
+++ b/pkg/jydetector/channel.go
@@ -43,3 +43,15 @@
 func logLikelihoodRatio(n, k uint64, p0, p1 float64) float64 {
 	return float64(k)*math.Log(p1/p0) + float64(n-k)*math.Log((1-p1)/(1-p0))
 }
+
+// maxShare bounds an observed share, so that its logarithms stay finite.
+const maxShare = 0.99
+
+// evidence returns the likelihood ratio of the observed share itself against share p0; it is 0 if the observed one is not above p0.
+func evidence(n, k uint64, p0 float64) float64 {
+	observed := min(maxShare, float64(k)/float64(max(1, n)))
+	if observed <= p0 {
+		return 0
+	}
+	return logLikelihoodRatio(n, k, p0, observed)
+}
--- a/pkg/jydetector/detector.go
+++ b/pkg/jydetector/detector.go
@@ -49,6 +49,7 @@
 	strikes   int
 	drainTill time.Time
 	recent    window
+	total     Counts
 	tests     [len(channels)][]sum
 	probation float64
 }
@@ -61,6 +62,9 @@
 
 // SetServers tells which servers the service has; a new one starts Cold, but all are Healthy at the first call.
 func (d *Detector) SetServers(now time.Time, list []Server) {
+	if d.sameServers(list) {
+		return
+	}
 	first := d.servers == nil
 	old := map[ServerName]*server{}
 	for _, s := range d.servers {
@@ -76,6 +80,15 @@
 		d.servers = append(d.servers, s)
 	}
 	slices.SortFunc(d.servers, func(a, b *server) int { return cmp.Compare(a.Name, b.Name) })
+	// Excursions hold the counts of all servers by their places, which have moved.
+	for _, s := range d.servers {
+		s.resetTests()
+	}
+}
+
+// sameServers reports whether the list, sorted by name, is what the detector has.
+func (d *Detector) sameServers(list []Server) bool {
+	return slices.EqualFunc(d.servers, list, func(s *server, v Server) bool { return s.Server == v })
 }
 
 func (d *Detector) newServer(now time.Time, first bool) *server {
@@ -92,6 +105,10 @@
 func (s *server) enter(now time.Time, p Phase, until time.Time) {
 	s.phase, s.since, s.until = p, now, until
 	s.probation = 0
+	s.resetTests()
+}
+
+func (s *server) resetTests() {
 	for i := range s.tests {
 		for j := range s.tests[i] {
 			s.tests[i][j].reset()
@@ -114,6 +131,9 @@
 	if !ok {
 		return changes
 	}
+	for _, s := range d.servers {
+		s.recent.decay(now)
+	}
 	for _, t := range r.Totals {
 		s := d.find(t.Server)
 		if s == nil {
@@ -192,7 +212,8 @@
 }
 
 func (d *Detector) take(now time.Time, s *server, reporter int, c Counts) []Change {
-	s.recent.add(now, c)
+	s.recent.add(c)
+	s.total = s.total.plus(c)
 	switch s.phase {
 	case Healthy, Cold:
 		return d.test(now, s, reporter, c)
@@ -207,26 +228,29 @@
 		if ch.cause == SlowAnswers && s.phase == Cold {
 			continue
 		}
-		p0 := d.peerShare(now, s, i)
+		p0 := d.peerShare(s, i)
 		for j, p1 := range ch.alternatives {
 			if p1 < minRatio*p0 {
 				s.tests[i][j].reset()
 				continue
 			}
-			s.tests[i][j].add(reporter, logLikelihoodRatio(c.Attempts, ch.marked(c), p0, p1))
+			t := &s.tests[i][j]
+			if t.score == 0 {
+				t.begin(d.servers)
+			}
+			t.add(reporter, c, logLikelihoodRatio(c.Attempts, ch.marked(c), p0, p1))
 		}
 	}
 	return d.judge(now, s)
 }
 
 // peerShare returns the median share among the other servers that take requests, which a service-wide fault raises too.
-func (d *Detector) peerShare(now time.Time, s *server, channel int) float64 {
+func (d *Detector) peerShare(s *server, channel int) float64 {
 	shares := make([]float64, 0, len(d.servers))
 	for _, o := range d.servers {
 		if o == s || !o.takesRequests() {
 			continue
 		}
-		o.recent.decay(now)
 		shares = append(shares, o.recent.share(channel))
 	}
 	return max(channels[channel].leastShare, upperMedian(shares))
@@ -243,16 +267,20 @@
 }
 
 func (d *Detector) judge(now time.Time, s *server) []Change {
+	var changes []Change
 	for i, ch := range channels {
 		for j := range ch.alternatives {
 			t := &s.tests[i][j]
 			if t.score < d.threshold(s) || !d.hasSecondOpinion(now, t) {
 				continue
 			}
-			return d.alarm(now, s, i, j)
+			changes = append(changes, d.alarm(now, s, i, j)...)
+			if s.phase == Ejected {
+				return changes
+			}
 		}
 	}
-	return nil
+	return changes
 }
 
 func (d *Detector) threshold(s *server) float64 {
@@ -288,30 +316,39 @@
 
 func (d *Detector) alarm(now time.Time, s *server, channel, alternative int) []Change {
 	t := &s.tests[channel][alternative]
-	change := Change{Server: s.Name, From: s.phase, To: s.phase, Cause: channels[channel].cause, Score: t.score}
-	if t.score-d.peerScore(s, channel, alternative) < d.threshold(s) {
-		change.Withheld = ServiceFault
-		t.reset()
-		return []Change{change}
+	ch := channels[channel]
+	p0 := max(ch.leastShare, d.shareInExcursion(s, t, ch))
+	if evidence(t.seen.Attempts, ch.marked(t.seen), p0) < d.threshold(s) {
+		return d.withhold(s, t, ch.cause, ServiceFault)
 	}
 	if !d.mayEject(s) {
-		change.Withheld = AtFloor
-		s.score = t.score
-		t.reset()
-		return []Change{change}
+		s.cause, s.score = ch.cause, t.score
+		return d.withhold(s, t, ch.cause, AtFloor)
 	}
-	return []Change{d.eject(now, s, channels[channel].cause, t.score)}
+	return []Change{d.eject(now, s, ch.cause, t.score)}
 }
 
-// peerScore returns the median score of the same test among the servers that take requests.
-func (d *Detector) peerScore(s *server, channel, alternative int) float64 {
-	scores := make([]float64, 0, len(d.servers))
-	for _, o := range d.servers {
-		if o != s && o.takesRequests() {
-			scores = append(scores, o.tests[channel][alternative].score)
+// withhold tells once in an excursion that an alarm leads to no ejection.
+func (d *Detector) withhold(s *server, t *sum, cause Cause, why Withheld) []Change {
+	if t.withheld == why {
+		return nil
+	}
+	t.withheld = why
+	return []Change{{Server: s.Name, From: s.phase, To: s.phase, Cause: cause, Score: t.score, Withheld: why}}
+}
+
+// shareInExcursion returns the median share that the other servers show since the excursion began: it follows the
+// onset of a service-wide fault at once, where the decaying windows lag.
+func (d *Detector) shareInExcursion(s *server, t *sum, ch channel) float64 {
+	shares := make([]float64, 0, len(d.servers))
+	for i, o := range d.servers {
+		if o == s || !o.takesRequests() {
+			continue
 		}
+		c := o.total.minus(t.base[i])
+		shares = append(shares, float64(ch.marked(c))/float64(max(1, c.Attempts)))
 	}
-	return upperMedian(scores)
+	return upperMedian(shares)
 }
 
 // mayEject reports whether the other warm servers hold the floor.
@@ -354,7 +391,7 @@
 )
 
 func (d *Detector) tryReturn(now time.Time, s *server, c Counts) []Change {
-	p0 := d.peerShare(now, s, 0)
+	p0 := d.peerShare(s, 0)
 	s.probation -= logLikelihoodRatio(c.Attempts, c.Failures, min(p0, relapseShare/minRatio), relapseShare)
 	if s.probation <= relapseScore {
 		return []Change{d.eject(now, s, Relapse, s.probation)}
--- /dev/null
+++ b/pkg/jydetector/detector_test.go
@@ -0,0 +1,223 @@
+package jydetector_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/jackdawyard/jackdawyard/pkg/jydetector"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+const (
+	servers   = 6
+	slots     = 4
+	reporters = 9
+	centres   = 3
+)
+
+func name(i int) jydetector.ServerName { return jydetector.ServerName(fmt.Sprintf("server-%d", i)) }
+
+func newDetector(floor int) *jydetector.Detector {
+	d := jydetector.New(jydetector.Config{ServerDaysPerFalseEjection: 1000, FloorSlots: floor})
+	var list []jydetector.Server
+	for i := range servers {
+		list = append(list, jydetector.Server{Name: name(i), Slots: slots})
+	}
+	d.SetServers(start, list)
+	return d
+}
+
+// traffic drives a detector with the reports of instances that send real requests.
+type traffic struct {
+	detector *jydetector.Detector
+	random   *rand.Rand
+	now      time.Time
+	counts   [reporters][servers]jydetector.Counts
+	changes  []jydetector.Change
+	// fails returns the share of failures that a reporter sees at a server.
+	fails func(reporter, server int) float64
+}
+
+func newTraffic(seed uint64, floor int) *traffic {
+	return &traffic{
+		detector: newDetector(floor), random: rand.New(rand.NewPCG(seed, 2)), now: start,
+		fails: func(int, int) float64 { return 0.001 },
+	}
+}
+
+// run sends 45 requests to each server a second.
+func (f *traffic) run(d time.Duration) {
+	for end := f.now.Add(d); f.now.Before(end); {
+		f.now = f.now.Add(200 * time.Millisecond)
+		for r := range reporters {
+			report := jydetector.Report{
+				Reporter: jydetector.ReporterName(fmt.Sprint("entry-", r)), Group: jydetector.GroupName(fmt.Sprint("dc-", r%centres)), Boot: 1,
+			}
+			for s := range servers {
+				base := f.counts[r][s]
+				c := &f.counts[r][s]
+				c.Attempts++
+				if f.random.Float64() < f.fails(r, s) {
+					c.Failures++
+				}
+				report.Totals = append(report.Totals, jydetector.Totals{Server: name(s), Base: base, Now: *c})
+			}
+			f.changes = append(f.changes, f.detector.Observe(f.now, report)...)
+		}
+	}
+}
+
+func (f *traffic) ejected() map[jydetector.ServerName]bool {
+	out := map[jydetector.ServerName]bool{}
+	for _, c := range f.changes {
+		if c.To == jydetector.Ejected {
+			out[c.Server] = true
+		}
+	}
+	return out
+}
+
+func TestWhoIsEjected(t *testing.T) {
+	at := func(share float64, which func(reporter, server int) bool) func(int, int) float64 {
+		return func(r, s int) float64 {
+			if which(r, s) {
+				return share
+			}
+			return 0.001
+		}
+	}
+	tests := map[string]struct {
+		fails func(reporter, server int) float64
+		want  []int
+	}{
+		"nobody while all work":                     {fails: at(0, func(int, int) bool { return false })},
+		"a server that fails for everyone":          {fails: at(1, func(_, s int) bool { return s == 2 }), want: []int{2}},
+		"a server that fails a twentieth":           {fails: at(0.05, func(_, s int) bool { return s == 2 }), want: []int{2}},
+		"two servers that fail at once":             {fails: at(0.5, func(_, s int) bool { return s < 2 }), want: []int{0, 1}},
+		"no server that one instance cannot reach":  {fails: at(1, func(r, s int) bool { return r == 4 && s == 2 })},
+		"no server that one centre cannot reach":    {fails: at(1, func(r, s int) bool { return r%centres == 1 && s == 2 })},
+		"nobody by one reporter that says all fail": {fails: at(1, func(r, _ int) bool { return r == 4 })},
+		"nobody while the service fails by half":    {fails: at(0.5, func(int, int) bool { return true })},
+		"nobody while the service fails as a whole": {fails: at(1, func(int, int) bool { return true })},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(10) {
+				f := newTraffic(seed, servers*slots/2)
+				f.run(20 * time.Second)
+				f.fails = tt.fails
+				f.run(40 * time.Second)
+				want := map[jydetector.ServerName]bool{}
+				for _, s := range tt.want {
+					want[jydetector.ServerName(fmt.Sprint("server-", s))] = true
+				}
+				assert.Equal(t, want, f.ejected(), "seed %d", seed)
+			}
+		})
+	}
+}
+
+func TestAnEjectedServerReturnsWhenItWorks(t *testing.T) {
+	f := newTraffic(1, 0)
+	f.fails = func(_, s int) float64 { return map[bool]float64{true: 1}[s == 2] }
+	f.run(2 * time.Second)
+	require.Equal(t, jydetector.Ejected, f.detector.Verdicts()[0].Phase)
+
+	f.fails = func(int, int) float64 { return 0 }
+	f.run(jydetector.DefaultBaseEjection + jydetector.DefaultColdTime + 5*time.Second)
+	assert.Empty(t, f.detector.Verdicts())
+}
+
+func TestAServerThatFlapsStaysAwayForLonger(t *testing.T) {
+	f := newTraffic(1, 0)
+	f.fails = func(_, s int) float64 { return map[bool]float64{true: 1}[s == 2] }
+	f.run(2 * time.Minute)
+	v := f.detector.Verdicts()[0]
+	assert.Greater(t, v.Until.Sub(v.Since), 4*jydetector.DefaultBaseEjection-time.Second)
+	assert.Equal(t, jydetector.Relapse, v.Cause)
+}
+
+func TestADrainingServerTakesNothing(t *testing.T) {
+	d := newDetector(servers * slots)
+	report := jydetector.Report{Reporter: "entry-1", Boot: 1, Totals: []jydetector.Totals{
+		{Server: name(1), Now: jydetector.Counts{Attempts: 1}, Draining: true},
+	}}
+	changes := d.Observe(start, report)
+	require.Len(t, changes, 1)
+	assert.Equal(t, jydetector.Draining, changes[0].To)
+	assert.Empty(t, d.Observe(start.Add(time.Second), report), "a repeated report changes nothing")
+}
+
+// drawReport makes the next report of a reporter, whose cumulative counts it keeps.
+func drawReport(t *rapid.T, counts *[reporters][servers]jydetector.Counts) jydetector.Report {
+	r := rapid.IntRange(0, reporters-1).Draw(t, "reporter")
+	report := jydetector.Report{
+		Reporter: jydetector.ReporterName(fmt.Sprint("entry-", r)), Group: jydetector.GroupName(fmt.Sprint("dc-", r%centres)), Boot: 1,
+	}
+	for range rapid.IntRange(1, servers).Draw(t, "totals") {
+		s := rapid.IntRange(0, servers-1).Draw(t, "server")
+		base := counts[r][s]
+		n := rapid.Uint64Range(1, 20).Draw(t, "attempts")
+		counts[r][s].Attempts += n
+		counts[r][s].Failures += rapid.Uint64Range(0, n).Draw(t, "failures")
+		counts[r][s].Slow += rapid.Uint64Range(0, n).Draw(t, "slow")
+		report.Totals = append(report.Totals, jydetector.Totals{Server: name(s), Base: base, Now: counts[r][s]})
+	}
+	return report
+}
+
+func TestRepeatedAndLateReportsChangeNothing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		once, often := newDetector(8), newDetector(8)
+		var counts [reporters][servers]jydetector.Counts
+		var sent []jydetector.Report
+		now := start
+		for range rapid.IntRange(1, 60).Draw(t, "reports") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "milliseconds")) * time.Millisecond)
+			report := drawReport(t, &counts)
+			sent = append(sent, report)
+			once.Observe(now, report)
+			often.Observe(now, report)
+			for range rapid.IntRange(0, 3).Draw(t, "repeats") {
+				often.Observe(now, rapid.SampledFrom(sent).Draw(t, "repeated"))
+			}
+			require.Equal(t, once.Verdicts(), often.Verdicts())
+		}
+	})
+}
+
+func TestNoEjectionTakesTheServiceBelowItsFloor(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		floor := rapid.IntRange(0, servers*slots).Draw(t, "floor")
+		d := newDetector(floor)
+		var counts [reporters][servers]jydetector.Counts
+		now := start
+		for range rapid.IntRange(1, 80).Draw(t, "reports") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 5000).Draw(t, "milliseconds")) * time.Millisecond)
+			for _, c := range d.Observe(now, drawReport(t, &counts)) {
+				if c.To != jydetector.Ejected || c.From == jydetector.Probation {
+					continue
+				}
+				healthy := servers - len(d.Verdicts())
+				require.GreaterOrEqual(t, healthy*slots, floor)
+			}
+		}
+	})
+}
+
+func TestTheSameReportsLeadToTheSameVerdicts(t *testing.T) {
+	one, other := newTraffic(3, 8), newTraffic(3, 8)
+	for _, f := range []*traffic{one, other} {
+		f.fails = func(_, s int) float64 { return 0.1 * float64(s) }
+		f.run(time.Minute)
+	}
+	assert.Equal(t, one.changes, other.changes)
+	assert.Equal(t, one.detector.Verdicts(), other.detector.Verdicts())
+}
--- a/pkg/jydetector/sum.go
+++ b/pkg/jydetector/sum.go
@@ -1,17 +1,30 @@
 package jydetector
 
-// sum is one cumulative sum test, with the share that each reporter has in its present excursion above zero.
+// sum is one cumulative sum test, with what happened in its present excursion above zero.
 type sum struct {
 	score float64
-	parts []float64 // by reporter index
+	parts []float64 // of the score, by reporter index
+	// seen is what the tested server did in the excursion, and base the counts of all servers at its start.
+	seen     Counts
+	base     []Counts
+	withheld Withheld // told once in an excursion
 }
 
-func (s *sum) add(reporter int, llr float64) {
+// begin starts an excursion.
+func (s *sum) begin(servers []*server) {
+	s.base = s.base[:0]
+	for _, o := range servers {
+		s.base = append(s.base, o.total)
+	}
+}
+
+func (s *sum) add(reporter int, c Counts, llr float64) {
 	for len(s.parts) <= reporter {
 		s.parts = append(s.parts, 0)
 	}
 	s.parts[reporter] += llr
 	s.score += llr
+	s.seen = s.seen.plus(c)
 	if s.score <= 0 {
 		s.reset()
 	}
@@ -19,6 +32,8 @@
 
 func (s *sum) reset() {
 	s.score = 0
+	s.seen = Counts{}
+	s.withheld = NotWithheld
 	clear(s.parts)
 }
 
--- a/pkg/jydetector/types.go
+++ b/pkg/jydetector/types.go
@@ -22,6 +22,10 @@
 	return Counts{Attempts: c.Attempts - d.Attempts, Failures: c.Failures - d.Failures, Slow: c.Slow - d.Slow}
 }
 
+func (c Counts) plus(d Counts) Counts {
+	return Counts{Attempts: c.Attempts + d.Attempts, Failures: c.Failures + d.Failures, Slow: c.Slow + d.Slow}
+}
+
 // covers reports whether c can be a later count than d.
 func (c Counts) covers(d Counts) bool {
 	return c.Attempts >= d.Attempts && c.Failures >= d.Failures && c.Slow >= d.Slow
--- a/pkg/jydetector/window.go
+++ b/pkg/jydetector/window.go
@@ -18,8 +18,8 @@
 	updated  time.Time
 }
 
-func (w *window) add(now time.Time, c Counts) {
-	w.decay(now)
+// add takes counts; the window must be decayed to the present.
+func (w *window) add(c Counts) {
 	w.attempts += float64(c.Attempts)
 	for i, ch := range channels {
 		w.marked[i] += float64(ch.marked(c))
--- a/pkg/jymember/gossip.go
+++ b/pkg/jymember/gossip.go
@@ -16,13 +16,13 @@
 // spread queues an update and drops older news under the same key.
 func (t *Table) spread(key string, u Update) {
 	t.rumours = slices.DeleteFunc(t.rumours, func(r rumour) bool { return r.key == key })
-	t.rumours = append(t.rumours, rumour{key: key, update: u})
+	t.rumours = slices.Insert(t.rumours, 0, rumour{key: key, update: u})
 }
 
 // roundsFactor is how many times the logarithm of the fleet's size an update is sent.
 const roundsFactor = 4
 
-// Updates returns the news to send with a call, the least sent first, at most Config.UpdatesPerCall.
+// Updates returns the news to send with a call, the least sent first and the newest of those, at most Config.UpdatesPerCall.
 func (t *Table) Updates() []Update {
 	limit := roundsFactor * bits.Len(uint(len(t.entries)+1))
 	slices.SortStableFunc(t.rumours, func(a, b rumour) int { return cmp.Compare(a.sent, b.sent) })
