Spread only news, so that a fleet that starts does not drown it

Each table passed on all that it learned at the start, so that one piece of news was sent once in ten calls. What comes in answer to a first heartbeat is no news and is now taken without passing it on, and each instance announces itself.

--- a/internal/jyfleet/fleet.go
+++ b/internal/jyfleet/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -109,12 +110,18 @@
 func (f *Fleet) beat(ctx context.Context, address string) bool {
 	ctx, cancel := context.WithTimeout(ctx, f.config.Timeout)
 	defer cancel()
-	r, err := f.config.Clients.At(address).Heartbeat(ctx, connect.NewRequest(f.request()))
+	return f.exchange(ctx, address) != nil
+}
+
+// exchange sends a heartbeat, learns from its answer, and returns the member that answered, or nil.
+func (f *Fleet) exchange(ctx context.Context, address string) *jywire.Member {
+	request := f.request()
+	r, err := f.config.Clients.At(address).Heartbeat(ctx, connect.NewRequest(request))
 	if err != nil {
-		return false
+		return nil
 	}
-	f.learn(r.Msg.GetSender(), r.Msg.GetUpdates(), r.Msg.GetNote())
-	return true
+	f.learn(r.Msg.GetSender(), r.Msg.GetUpdates(), r.Msg.GetNote(), !request.GetWantsEverything())
+	return r.Msg.GetSender()
 }
 
 func (f *Fleet) request() *jywire.HeartbeatRequest {
@@ -129,11 +136,15 @@
 	}
 }
 
-func (f *Fleet) learn(sender *jywire.Member, updates []*jywire.Update, note *jywire.NoteMark) {
+func (f *Fleet) learn(sender *jywire.Member, updates []*jywire.Update, note *jywire.NoteMark, isNews bool) {
 	m := jypeer.MemberFromWire(sender)
 	f.mu.Lock()
 	now := time.Now()
-	logEvents(f.table.Merge(now, jypeer.UpdatesFromWire(updates)))
+	merge := f.table.Merge
+	if !isNews {
+		merge = f.table.MergeEverything
+	}
+	logEvents(merge(now, jypeer.UpdatesFromWire(updates)))
 	logEvents(f.table.Answered(now, m))
 	f.mu.Unlock()
 	f.config.OnMark(m.Address, jypeer.MarkFromWire(note))
@@ -167,7 +178,7 @@
 
 // Heartbeat answers a peer's heartbeat.
 func (f *Fleet) Heartbeat(_ context.Context, r *connect.Request[jywire.HeartbeatRequest]) (*connect.Response[jywire.HeartbeatResponse], error) {
-	f.learn(r.Msg.GetSender(), r.Msg.GetUpdates(), r.Msg.GetNote())
+	f.learn(r.Msg.GetSender(), r.Msg.GetUpdates(), r.Msg.GetNote(), true)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	updates := f.table.Updates
@@ -185,14 +196,15 @@
 func (f *Fleet) HeartbeatVia(ctx context.Context, r *connect.Request[jywire.HeartbeatViaRequest]) (*connect.Response[jywire.HeartbeatViaResponse], error) {
 	ctx, cancel := context.WithTimeout(ctx, f.config.Timeout)
 	defer cancel()
-	answer, err := f.config.Clients.At(r.Msg.GetTargetAddress()).Heartbeat(ctx, connect.NewRequest(f.request()))
-	if err != nil {
-		return nil, connect.NewError(connect.CodeUnavailable, err)
+	target := f.exchange(ctx, r.Msg.GetTargetAddress())
+	if target == nil {
+		return nil, connect.NewError(connect.CodeUnavailable, errNoAnswer)
 	}
-	f.learn(answer.Msg.GetSender(), answer.Msg.GetUpdates(), answer.Msg.GetNote())
-	return connect.NewResponse(&jywire.HeartbeatViaResponse{Target: answer.Msg.GetSender()}), nil
+	return connect.NewResponse(&jywire.HeartbeatViaResponse{Target: target}), nil
 }
 
+var errNoAnswer = errors.New("the target does not answer")
+
 // SyncList takes the platform's list of instances.
 func (f *Fleet) SyncList(list []jymember.Seed) {
 	f.mu.Lock()
--- a/pkg/jymember/succession.go
+++ b/pkg/jymember/succession.go
@@ -11,12 +11,16 @@
 const maxSuccessions = 64
 
 // AddSuccession records that a run handed its duties over, and passes it on.
-func (t *Table) AddSuccession(now time.Time, s Succession) {
+func (t *Table) AddSuccession(now time.Time, s Succession) { t.addSuccession(now, s, true) }
+
+func (t *Table) addSuccession(now time.Time, s Succession, news bool) {
 	if _, known := t.successions[s.From]; known || s.From == s.To {
 		return
 	}
 	t.successions[s.From] = succession{to: s.To, since: now}
-	t.spread(fmt.Sprintf("%s/%d", s.From.Name, s.From.Boot), Update{Succession: &s})
+	if news {
+		t.spread(fmt.Sprintf("%s/%d", s.From.Name, s.From.Boot), Update{Succession: &s})
+	}
 }
 
 // Holder returns the member that holds the duties of a run now, or false if the run is known to have ended without a successor.
--- a/pkg/jymember/table.go
+++ b/pkg/jymember/table.go
@@ -29,7 +29,9 @@
 
 // NewTable returns a table that knows only its own instance.
 func NewTable(c Config, self Member) *Table {
-	return &Table{config: c, self: self, entries: map[Name]*entry{}, successions: map[Run]succession{}}
+	t := &Table{config: c, self: self, entries: map[Name]*entry{}, successions: map[Run]succession{}}
+	t.announceSelf()
+	return t
 }
 
 // Self returns this instance as it presents itself.
@@ -100,21 +102,30 @@
 	return names
 }
 
-// Merge takes news from a peer.
+// Merge takes news from a peer and passes on what is new.
 func (t *Table) Merge(now time.Time, updates []Update) []Event {
+	return t.merge(now, updates, true)
+}
+
+// MergeEverything takes all that a peer knows; it is not passed on, since it is no news.
+func (t *Table) MergeEverything(now time.Time, updates []Update) []Event {
+	return t.merge(now, updates, false)
+}
+
+func (t *Table) merge(now time.Time, updates []Update, news bool) []Event {
 	var events []Event
 	for _, u := range updates {
 		if u.Succession != nil {
-			t.AddSuccession(now, *u.Succession)
+			t.addSuccession(now, *u.Succession, news)
 		}
 		if u.Member != nil {
-			events = append(events, t.mergeMember(now, *u.Member)...)
+			events = append(events, t.mergeMember(now, *u.Member, news)...)
 		}
 	}
 	return events
 }
 
-func (t *Table) mergeMember(now time.Time, m Member) []Event {
+func (t *Table) mergeMember(now time.Time, m Member, news bool) []Event {
 	if m.Name == t.self.Name {
 		t.refute(m)
 		return nil
@@ -126,12 +137,12 @@
 		}
 		e = &entry{}
 		t.entries[m.Name] = e
-		return t.set(now, e, m, true)
+		return t.set(now, e, m, news, true)
 	}
 	if !m.supersedes(e.Member) {
 		return nil
 	}
-	return t.set(now, e, m, m.Boot > e.Boot)
+	return t.set(now, e, m, news, m.Boot > e.Boot)
 }
 
 // refute answers a claim that this instance is not alive with a higher incarnation.
@@ -148,13 +159,15 @@
 	t.spread(string(self.Name), Update{Member: &self})
 }
 
-func (t *Table) set(now time.Time, e *entry, m Member, isNew bool) []Event {
+func (t *Table) set(now time.Time, e *entry, m Member, news, isNew bool) []Event {
 	before := e.Status
 	e.Member = m
 	if before != m.Status || isNew {
 		e.since = now
 	}
-	t.spread(string(m.Name), Update{Member: &m})
+	if news {
+		t.spread(string(m.Name), Update{Member: &m})
+	}
 	if before == m.Status && !isNew {
 		return nil
 	}
@@ -207,11 +220,11 @@
 	}
 	m := e.Member
 	m.Status = Suspect
-	return t.set(now, e, m, false)
+	return t.set(now, e, m, true, false)
 }
 
-// Answered takes that a member answered a call, which speaks for its life whatever others say.
-func (t *Table) Answered(now time.Time, m Member) []Event { return t.mergeMember(now, m) }
+// Answered takes that a member answered a call, which speaks for its life whatever others say; it announces itself to others.
+func (t *Table) Answered(now time.Time, m Member) []Event { return t.mergeMember(now, m, false) }
 
 // Expire turns those who were suspected for too long into dead ones.
 func (t *Table) Expire(now time.Time) []Event {
@@ -223,7 +236,7 @@
 		}
 		m := e.Member
 		m.Status = Dead
-		events = append(events, t.set(now, e, m, false)...)
+		events = append(events, t.set(now, e, m, true, false)...)
 	}
 	return events
 }
--- a/pkg/jymember/table_test.go
+++ b/pkg/jymember/table_test.go
@@ -20,11 +20,12 @@
 	random  *rand.Rand
 	tables  []*jymember.Table
 	down    map[int]bool
+	asked   map[int]int // calls of each instance so far: the first ones ask for everything
 	reaches func(from, to int) bool
 }
 
 func newFleet(size int, seed uint64) *fleet {
-	f := &fleet{now: start, random: rand.New(rand.NewPCG(seed, 3)), down: map[int]bool{}, reaches: func(int, int) bool { return true }}
+	f := &fleet{now: start, random: rand.New(rand.NewPCG(seed, 3)), down: map[int]bool{}, asked: map[int]int{}, reaches: func(int, int) bool { return true }}
 	var seeds []jymember.Seed
 	for i := range size {
 		seeds = append(seeds, jymember.Seed{Name: name(i), Address: fmt.Sprint(i), DataCentre: fmt.Sprint("dc-", i%3)})
@@ -54,7 +55,12 @@
 	if !f.reaches(to, from) {
 		return false
 	}
-	f.tables[from].Merge(f.now, f.tables[to].Updates())
+	f.asked[from]++
+	if f.asked[from] <= 3 {
+		f.tables[from].MergeEverything(f.now, f.tables[to].Everything())
+	} else {
+		f.tables[from].Merge(f.now, f.tables[to].Updates())
+	}
 	f.tables[from].Answered(f.now, f.tables[to].Self())
 	return true
 }
@@ -146,7 +152,7 @@
 	f.down[4] = true
 	f.rounds(20)
 	f.down[4] = false
-	f.tables[4] = f.table(4, 2)
+	f.tables[4], f.asked[4] = f.table(4, 2), 0
 	f.tables[4].SyncList(f.now, []jymember.Seed{{Name: name(5), Address: "5"}})
 	f.rounds(20)
 	assert.Equal(t, 14, f.holds(4, jymember.Alive))
