Prove kills, pauses, outages and crashing requests with real processes

Cause of the changes, each shown by a scenario that failed first: - An instance that restarted while the list of instances was away never asked a peer. It now also asks those whose heartbeats it has heard, and the new setting Seeds. - GET requests in flight beside a request that ends servers, and those sent to servers that were away, were blocked as if they had ended them. What was answered a moment ago is no longer suspected. - Innocent requests got Unknown while two of six servers were away: the retries of connections that did not open ate the retry budget. Ruled out: counting a strike only after a success at the same server, since three instances see three first failures.

--- a/internal/jybackend/pool.go
+++ b/internal/jybackend/pool.go
@@ -152,7 +152,7 @@
 	p.idle = nil
 }
 
-// Open connections are counted for the operator's status page.
+// OpenCount returns the open connections, for the operator's status page.
 func (p *Pool) OpenCount() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/jybackend/server.go
+++ b/internal/jybackend/server.go
@@ -6,6 +6,7 @@
 
 	"github.com/jackdawyard/jackdawyard/pkg/jydetector"
 	"github.com/jackdawyard/jackdawyard/pkg/jynote"
+	"github.com/jackdawyard/jackdawyard/pkg/jyretry"
 )
 
 // Server is this instance's view of one backend server.
@@ -17,6 +18,18 @@
 	failures atomic.Uint64
 	slow     atomic.Uint64
 	draining atomic.Bool
+	lost     atomic.Int32 // connections lost in a row
+	passOver atomic.Int64 // until when others are preferred, in nanoseconds since the epoch
+}
+
+// ConnectionLost makes this instance prefer other servers for a while, which grows while connections go on being lost.
+func (s *Server) ConnectionLost(now time.Time) {
+	s.passOver.Store(now.Add(jyretry.Backoff(int(s.lost.Add(1)))).UnixNano())
+}
+
+// isPassedOver reports whether others are preferred.
+func (s *Server) isPassedOver(now time.Time) bool {
+	return s.lost.Load() > 0 && now.UnixNano() < s.passOver.Load()
 }
 
 // Counts returns the cumulative counts of finished attempts.
@@ -56,6 +69,7 @@
 		s.failures.Add(1)
 		return true
 	case Answered:
+		s.lost.Store(0)
 		s.attempts.Add(1)
 		if v.latency.add(latency) {
 			s.slow.Add(1)
--- a/internal/jybackend/service.go
+++ b/internal/jybackend/service.go
@@ -16,6 +16,9 @@
 // probationWeight is the share of a full load that a server on probation takes.
 const probationWeight = 0.05
 
+// passedOverFactor scales the weight of a server to which connections were lost just now.
+const passedOverFactor = 0.02
+
 // Service is this instance's view of one service and its backend servers.
 type Service struct {
 	Info    jynote.Service
@@ -91,6 +94,9 @@
 		}
 	}
 	c.Weight = s.weight(now, n.Idempotent)
+	if s.server.isPassedOver(now) {
+		c.Weight *= passedOverFactor
+	}
 	return c
 }
 
--- a/internal/jycommand/serve.go
+++ b/internal/jycommand/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"runtime/debug"
 
 	"github.com/urfave/cli/v3"
 
@@ -10,6 +11,9 @@
 	"github.com/jackdawyard/jackdawyard/internal/jysettings"
 )
 
+// garbagePercent lets the heap of a node, which is small beside its machine, grow further between collections.
+const garbagePercent = 400
+
 func serveCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "serve",
@@ -25,6 +29,7 @@
 			if len(faults) > 0 {
 				return fmt.Errorf("%d faults in %s; the first is %s", len(faults), c.String("settings"), faults[0])
 			}
+			debug.SetGCPercent(garbagePercent)
 			node, err := jynode.New(settings)
 			if err != nil {
 				return err
--- a/internal/jydemo/demo.go
+++ b/internal/jydemo/demo.go
@@ -33,7 +33,6 @@
 // demo is one run.
 type demo struct {
 	out       io.Writer
-	ports     ports
 	platform  *jystandin.Platform
 	servers   []*jystandin.BackendServer
 	addresses []string
@@ -72,13 +71,13 @@
 }
 
 func (d *demo) start(ctx context.Context) error {
-	platform, err := d.ports.take()
+	platform, err := jystandin.FreeAddress()
 	if err != nil {
 		return err
 	}
 	d.platform = jystandin.NewPlatform(platform)
 	for i := range serverCount {
-		address, err := d.ports.take()
+		address, err := jystandin.FreeAddress()
 		if err != nil {
 			return err
 		}
@@ -116,7 +115,7 @@
 	for i := range instanceCount {
 		var a [3]string
 		for k := range a {
-			address, err := d.ports.take()
+			address, err := jystandin.FreeAddress()
 			if err != nil {
 				return nil, err
 			}
--- a/internal/jydemo/errors.go
+++ b/internal/jydemo/errors.go
@@ -9,7 +9,6 @@
 const (
 	BadSettings ErrorKind = "BadSettings"
 	TimedOut    ErrorKind = "TimedOut"
-	NoPort      ErrorKind = "NoPort"
 )
 
 // Error is the error type of this package.
--- a/internal/jyload/run.go
+++ b/internal/jyload/run.go
@@ -66,9 +66,7 @@
 	var wg sync.WaitGroup
 	for i := range total {
 		due := started.Add(time.Duration(i) * gap)
-		if d := time.Until(due); d > 0 {
-			time.Sleep(d)
-		}
+		waitUntil(due)
 		if ctx.Err() != nil {
 			break
 		}
@@ -86,6 +84,17 @@
 	wg.Wait()
 }
 
+// sleepMargin is how late a sleep may end; the rest of a wait is spent awake, so that the schedule is kept.
+const sleepMargin = 1200 * time.Microsecond
+
+func waitUntil(due time.Time) {
+	if d := time.Until(due); d > sleepMargin {
+		time.Sleep(d - sleepMargin)
+	}
+	for time.Now().Before(due) {
+	}
+}
+
 func (r *runner) count(f func(*Result)) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/jynode/node.go
+++ b/internal/jynode/node.go
@@ -110,7 +110,7 @@
 	s := n.settings
 	n.release = jyrelease.New(jyrelease.Config{
 		Platform: jyplatform.NewClient(s.ConfigurationAddress), Clients: clients,
-		WatchWait: s.WatchWait, PollInterval: s.PollInterval, PeerTimeout: s.PeerTimeout, WatchersPerCentre: s.WatchersPerCentre,
+		WatchWait: s.WatchWait, PollInterval: s.PollInterval, PeerTimeout: s.PeerTimeout, WatchersPerCentre: s.WatchersPerCentre, Seeds: s.Seeds,
 		OnState: n.apply,
 	})
 	n.fleet = jyfleet.New(jyfleet.Config{
--- a/internal/jynode/operator_server.go
+++ b/internal/jynode/operator_server.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/pprof"
 
 	"github.com/labstack/echo/v4"
 )
@@ -15,6 +16,8 @@
 	PathStatus  = "/status"
 	PathBurn    = "/burn"
 	PathMetrics = "/metrics"
+	PathProfile = "/debug/profile"
+	PathHeap    = "/debug/heap"
 )
 
 // operatorServer serves operators and the balancer's checks.
@@ -39,6 +42,8 @@
 	})
 	e.GET(PathStatus, func(c echo.Context) error { return c.JSON(http.StatusOK, n.Status()) })
 	e.GET(PathBurn, func(c echo.Context) error { return c.JSON(http.StatusOK, n.burn.Report(n.settings.Name)) })
+	e.GET(PathProfile, echo.WrapHandler(http.HandlerFunc(pprof.Profile)))
+	e.GET(PathHeap, echo.WrapHandler(pprof.Handler("heap")))
 	e.GET(PathMetrics, echo.WrapHandler(n.metrics.Handler()))
 	return &operatorServer{listener: listener, http: &http.Server{Handler: e, ReadHeaderTimeout: headerTimeout}}, nil
 }
--- a/internal/jyproxy/attempt.go
+++ b/internal/jyproxy/attempt.go
@@ -56,6 +56,7 @@
 		f.Reason = reasonOf(ctx)
 		a.end(jybackend.Neutral)
 	default:
+		a.server.ConnectionLost(time.Now())
 		a.end(jybackend.Failed)
 	}
 	return f
@@ -73,6 +74,9 @@
 	f := &jyretry.Failure{Reason: jyoutcome.AnswerLost}
 	if ctx.Err() == nil {
 		f.MayCrash = errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || isReset(err)
+		if f.MayCrash {
+			a.server.ConnectionLost(time.Now())
+		}
 		a.end(blame(conn, f.MayCrash))
 		return f
 	}
--- a/internal/jyproxy/forwarder.go
+++ b/internal/jyproxy/forwarder.go
@@ -26,7 +26,7 @@
 	IsEmpty() bool
 	IsBlocked(f jyblock.Fingerprint) bool
 	Completed(f jyblock.Fingerprint)
-	Crashed(f jyblock.Fingerprint, server jyblock.ServerName, idempotent bool) (blocked bool)
+	Crashed(f jyblock.Fingerprint, server jyblock.ServerName, idempotent bool)
 }
 
 // Forwarder sends requests to backend servers.
@@ -95,7 +95,7 @@
 }
 
 func (f *Forwarder) completed(r *request) {
-	if r.replayable() && !f.config.Block.IsEmpty() {
+	if r.replayable() && (r.match.Idempotent || !f.config.Block.IsEmpty()) {
 		f.config.Block.Completed(jyblock.Fingerprint(r.fingerprint()))
 	}
 }
--- a/internal/jyrelay/block.go
+++ b/internal/jyrelay/block.go
@@ -16,8 +16,12 @@
 	"github.com/jackdawyard/jackdawyard/pkg/jymember"
 )
 
-// BlockMemory is how long a request that ended backend servers stays blocked.
-const BlockMemory = 5 * time.Minute
+// Times of the list of blocked requests.
+const (
+	blockMemory      = 5 * time.Minute
+	blockShortMemory = time.Minute
+	blockRecentTime  = 10 * time.Second
+)
 
 // tellAtOnce bounds the peers that are told of a blocked request at the same time.
 const tellAtOnce = 64
@@ -34,7 +38,9 @@
 
 // NewBlock returns an empty list; others returns the instances to tell.
 func NewBlock(c *jypeer.Clients, others func() []jymember.Member, timeout time.Duration) *Block {
-	return &Block{clients: c, others: others, timeout: timeout, list: jyblock.New(jyblock.Config{Memory: BlockMemory})}
+	return &Block{clients: c, others: others, timeout: timeout, list: jyblock.New(jyblock.Config{
+		Memory: blockMemory, ShortMemory: blockShortMemory, RecentTime: blockRecentTime,
+	})}
 }
 
 // IsEmpty reports whether no request is under suspicion.
@@ -51,22 +57,24 @@
 func (b *Block) Completed(f jyblock.Fingerprint) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.list.Completed(f)
+	b.list.Completed(time.Now(), f)
 	b.size.Store(int64(b.list.Len()))
 }
 
 // Crashed records that a backend server ended under a request, and returns when all peers that answer in time know it.
-func (b *Block) Crashed(f jyblock.Fingerprint, server jyblock.ServerName, idempotent bool) (blocked bool) {
+func (b *Block) Crashed(f jyblock.Fingerprint, server jyblock.ServerName, idempotent bool) {
 	b.mu.Lock()
-	blocked = b.list.Crashed(time.Now(), f, server, idempotent)
+	suspected := b.list.Crashed(time.Now(), f, server, idempotent)
+	blocked := b.list.IsBlocked(time.Now(), f)
 	servers := b.list.Servers(f)
 	b.size.Store(int64(b.list.Len()))
 	b.mu.Unlock()
 	if blocked {
 		jylog.RequestBlocked.Log(hex.EncodeToString(f[:8]), servers)
 	}
-	b.tell(f, servers, blocked)
-	return blocked
+	if suspected {
+		b.tell(f, servers, blocked)
+	}
 }
 
 func (b *Block) tell(f jyblock.Fingerprint, servers []jyblock.ServerName, blocked bool) {
--- a/internal/jyrelay/relay.go
+++ b/internal/jyrelay/relay.go
@@ -83,29 +83,43 @@
 
 // HandOver brings the ids of this process, which must be sealed and idle, to one successor, and returns it.
 //
-// Only one successor is ever offered the ids: if its answer is lost, it may have taken them, and a second one must not.
+// The next candidate is asked only after a refusal: where an answer is lost, the first one may have taken the ids, and a
+// second one must not.
 func (r *Relay) HandOver(ctx context.Context) (*jymember.Run, error) {
 	const op = "hand request ids over"
 	list, err := r.config.Ledger.Export()
 	if err != nil {
 		return nil, newError(op, NotSealed, "%w", err)
 	}
+	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
+	defer cancel()
 	self := r.config.Fleet.Self()
 	notSelf := func(m jymember.Member) bool {
 		return m.Name != self.Name && m.Status == jymember.Alive && m.Address != ""
 	}
-	to := r.config.Fleet.Ranked("successor/"+string(self.Name), 1, notSelf)
-	if len(to) == 0 {
-		return nil, newError(op, NoHolder, "no other instance works")
+	for _, m := range r.config.Fleet.Ranked("successor/"+string(self.Name), successorsAsked, notSelf) {
+		run, err := r.handTo(ctx, m, list)
+		if err == nil {
+			return run, nil
+		}
+		if connect.CodeOf(err) != connect.CodeFailedPrecondition {
+			return run, newError(op, Unreachable, "%w", err)
+		}
 	}
-	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
-	defer cancel()
+	return nil, newError(op, NoHolder, "no other instance takes them")
+}
+
+// handTo offers the ids to one successor; it refuses before it takes any.
+func (r *Relay) handTo(ctx context.Context, m jymember.Member, list []jydedup.HandOver) (*jymember.Run, error) {
 	var successor *jymember.Run
 	records := 0
 	for _, h := range list {
-		resp, err := r.config.Clients.At(to[0].Address).HandOver(ctx, connect.NewRequest(jypeer.HandOverToWire(h)))
+		resp, err := r.config.Clients.At(m.Address).HandOver(ctx, connect.NewRequest(jypeer.HandOverToWire(h)))
+		if err != nil && successor != nil {
+			return successor, newError("hand request ids over", Unreachable, "after the first part: %v", err)
+		}
 		if err != nil {
-			return successor, newError(op, Unreachable, "%w", err)
+			return nil, err
 		}
 		run := jypeer.RunFromWire(resp.Msg.GetSuccessor())
 		successor = &run
@@ -113,10 +127,13 @@
 		from := jymember.Run{Name: jymember.Name(h.Issuer.Instance), Boot: jymember.Boot(h.Issuer.Boot)}
 		r.config.Fleet.AddSuccession(jymember.Succession{From: from, To: run})
 	}
-	jylog.HandOverDone.Log(to[0].Name, records)
+	jylog.HandOverDone.Log(m.Name, records)
 	return successor, nil
 }
 
+// successorsAsked is the number of instances that are asked in turn.
+const successorsAsked = 3
+
 const handOverTimeout = 5 * time.Second
 
 // TakeOver takes the ids of an instance that shuts down.
--- a/internal/jyrelease/compare.go
+++ b/internal/jyrelease/compare.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/jackdawyard/jackdawyard/internal/jyplatform"
@@ -10,20 +12,19 @@
 
 const compareTry = 200 * time.Millisecond
 
-// compare asks the listed peers what is in force before this instance serves, so that a stale configuration service
-// cannot take it back to an older note: it ends when a ready peer has answered, or when most of the listed instances
-// have answered and none was ready, as in a fleet that starts.
+// compare asks peers what is in force before this instance serves, so that a stale configuration service cannot take it
+// back to an older note: it ends when a ready peer has answered, or when most of the listed instances have answered and
+// none was ready, as in a fleet that starts. While the list is away, only a ready peer's answer ends it.
 func (r *Release) compare(ctx context.Context) {
 	reached := map[string]bool{}
 	for ctx.Err() == nil {
 		list, err := r.config.Platform.Instances(ctx)
 		if err != nil {
 			r.noteAway(ctx, err)
-			wait(ctx, compareTry)
-			continue
 		}
-		peers := r.takeList(list)
-		if r.askAll(ctx, peers, reached) || 2*(len(reached)+1) > len(peers)+1 {
+		listed := r.takeList(list)
+		ready := r.askAll(ctx, r.candidates(listed), reached)
+		if ready || (err == nil && isMajority(listed, reached)) {
 			r.compared.Store(true)
 			return
 		}
@@ -31,18 +32,56 @@
 	}
 }
 
-// askAll reports whether a ready peer answered, and adds the peers that answered at all to reached.
-func (r *Release) askAll(ctx context.Context, peers []jyplatform.Instance, reached map[string]bool) bool {
-	for _, p := range peers {
-		a := r.fetch(ctx, p.PeerAddress)
-		if a.ready {
-			return true
-		}
-		if a.reached {
-			reached[p.Name] = true
+// candidates returns the addresses of all instances that are known in any way.
+func (r *Release) candidates(listed []jyplatform.Instance) []string {
+	addresses := slices.Clone(r.config.Seeds)
+	for _, i := range listed {
+		addresses = append(addresses, i.PeerAddress)
+	}
+	for _, m := range r.fleet.Others(maxAsked) {
+		addresses = append(addresses, m.Address)
+	}
+	slices.Sort(addresses)
+	return slices.Compact(addresses)
+}
+
+const (
+	// maxAsked bounds the instances that are asked beside the listed ones.
+	maxAsked = 64
+	// askedAtOnce bounds the instances that are asked at the same time.
+	askedAtOnce = 16
+)
+
+// isMajority reports whether more than half of the instances, this one included, were reached.
+func isMajority(others []jyplatform.Instance, reached map[string]bool) bool {
+	count := 1
+	for _, i := range others {
+		if reached[i.PeerAddress] {
+			count++
 		}
 	}
-	return false
+	return 2*count > len(others)+1
+}
+
+// askAll reports whether a ready peer answered, and adds the addresses that answered at all to reached.
+func (r *Release) askAll(ctx context.Context, addresses []string, reached map[string]bool) bool {
+	answers := make([]answer, len(addresses))
+	var wg sync.WaitGroup
+	places := make(chan struct{}, askedAtOnce)
+	for i, a := range addresses {
+		places <- struct{}{}
+		wg.Go(func() {
+			defer func() { <-places }()
+			answers[i] = r.fetch(ctx, a)
+		})
+	}
+	wg.Wait()
+	ready := false
+	for i, a := range answers {
+		reached[addresses[i]] = reached[addresses[i]] || a.reached
+		ready = ready || a.ready
+	}
+	return ready
 }
 
 // takeList passes the platform's list on to the membership and returns the other instances.
--- a/internal/jyrelease/release.go
+++ b/internal/jyrelease/release.go
@@ -41,6 +41,8 @@
 	PollInterval      time.Duration
 	PeerTimeout       time.Duration
 	WatchersPerCentre int
+	// Seeds are addresses to ask at the start beside the platform's list.
+	Seeds []string
 	// OnState is called with each state that comes into force, in order.
 	OnState func(jynote.State)
 }
--- a/internal/jysettings/key.go
+++ b/internal/jysettings/key.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"net/url"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -38,6 +39,21 @@
 	}
 }
 
+func addresses(field func(*Settings) *[]string) func(*Settings, string) error {
+	return func(s *Settings, v string) error {
+		var list []string
+		for part := range strings.SplitSeq(v, ",") {
+			part = strings.TrimSpace(part)
+			if _, err := netip.ParseAddrPort(part); err != nil {
+				return fmt.Errorf("%q is not an IP number and a port", part)
+			}
+			list = append(list, part)
+		}
+		*field(s) = list
+		return nil
+	}
+}
+
 func link(field func(*Settings) *string) func(*Settings, string) error {
 	return func(s *Settings, v string) error {
 		u, err := url.Parse(v)
--- a/internal/jysettings/keys.go
+++ b/internal/jysettings/keys.go
@@ -27,6 +27,7 @@
 		{Section: sectionPlatform, Name: "PollInterval", Unit: "time", Default: "5s", Allowed: "1s to 5m", Meaning: "How often the instance list is read, and the service tried again after a failure.", set: duration(time.Second, 5*time.Minute, func(s *Settings) *time.Duration { return &s.PollInterval })},
 		{Section: sectionPlatform, Name: "WatchersPerCentre", Default: "2", Allowed: "1 to 10", Meaning: "How many instances of each data centre watch the service for the others.", set: whole(1, 10, func(s *Settings) *int { return &s.WatchersPerCentre })},
 
+		{Section: sectionPeers, Name: "Seeds", Optional: true, Allowed: "addresses, separated by commas", Meaning: "Instances to ask at the start beside those of the platform's list, for when the list is away.", set: addresses(func(s *Settings) *[]string { return &s.Seeds })},
 		{Section: sectionPeers, Name: "SharedKey", Optional: true, Allowed: "at least 16 characters", Meaning: "Key by which instances accept each other.", set: text(func(s *Settings) *string { return &s.SharedKey })},
 		{Section: sectionPeers, Name: "CertificateFile", Optional: true, Allowed: "a PEM file", Meaning: "Certificate for mutual TLS between instances.", set: text(func(s *Settings) *string { return &s.CertificateFile })},
 		{Section: sectionPeers, Name: "PrivateKeyFile", Optional: true, Allowed: "a PEM file", Meaning: "Private key of the certificate.", set: text(func(s *Settings) *string { return &s.PrivateKeyFile })},
--- a/internal/jysettings/settings.go
+++ b/internal/jysettings/settings.go
@@ -16,6 +16,7 @@
 	PollInterval         time.Duration
 	WatchersPerCentre    int
 
+	Seeds             []string
 	SharedKey         string
 	CertificateFile   string
 	PrivateKeyFile    string
--- a/main.go
+++ b/main.go
@@ -1,3 +1,4 @@
+// Command jackdawyard is a proxy fleet for backend servers that fail partially and quietly.
 package main
 
 import (
--- a/pkg/jyblock/list.go
+++ b/pkg/jyblock/list.go
@@ -15,14 +15,20 @@
 const (
 	// serversToBlock is the number of backend servers that an idempotent request may end before it is blocked.
 	serversToBlock = 2
-	// MaxSuspects bounds the fingerprints remembered; the oldest makes room.
+	// MaxSuspects bounds the fingerprints under suspicion; the oldest makes room.
 	MaxSuspects = 4096
+	// maxRecent bounds the fingerprints of each half of the answered requests.
+	maxRecent = 4096
 )
 
 // Config sets up a List.
 type Config struct {
-	// Memory is how long a fingerprint stays under suspicion or blocked.
+	// Memory is how long a request that ended several backend servers stays blocked.
 	Memory time.Duration
+	// ShortMemory is how long one that ended a single backend server stays under suspicion or blocked.
+	ShortMemory time.Duration
+	// RecentTime is how long an answer clears a request: what was answered a moment ago does not end servers.
+	RecentTime time.Duration
 }
 
 // List holds the requests under suspicion; it is not safe for concurrent use.
@@ -30,6 +36,10 @@
 	config   Config
 	suspects map[Fingerprint]*suspect
 	order    []Fingerprint
+	// recent and older hold the requests answered in the present and the last span of RecentTime.
+	recent  map[Fingerprint]bool
+	older   map[Fingerprint]bool
+	rotated time.Time
 }
 
 type suspect struct {
@@ -40,7 +50,7 @@
 
 // New returns an empty list.
 func New(c Config) *List {
-	return &List{config: c, suspects: map[Fingerprint]*suspect{}}
+	return &List{config: c, suspects: map[Fingerprint]*suspect{}, recent: map[Fingerprint]bool{}, older: map[Fingerprint]bool{}}
 }
 
 // Len returns the number of requests under suspicion, so that callers can spare a fingerprint where there are none.
@@ -53,13 +63,26 @@
 }
 
 // Crashed records that a backend server ended while it ran the request; a non-idempotent one is blocked at once.
-func (l *List) Crashed(now time.Time, f Fingerprint, server ServerName, idempotent bool) (blocked bool) {
+// It reports whether the request is under suspicion, which one that was answered a moment ago is not.
+func (l *List) Crashed(now time.Time, f Fingerprint, server ServerName, idempotent bool) (suspected bool) {
+	l.rotate(now)
+	if l.recent[f] || l.older[f] {
+		return false
+	}
 	s := l.suspect(now, f)
 	if !slices.Contains(s.servers, server) {
 		s.servers = append(s.servers, server)
 	}
 	s.blocked = s.blocked || !idempotent || len(s.servers) >= serversToBlock
-	return s.blocked
+	s.until = now.Add(l.memory(s))
+	return true
+}
+
+func (l *List) memory(s *suspect) time.Duration {
+	if len(s.servers) >= serversToBlock {
+		return l.config.Memory
+	}
+	return l.config.ShortMemory
 }
 
 // Merge takes what a peer holds of a request.
@@ -71,15 +94,33 @@
 		}
 	}
 	s.blocked = s.blocked || blocked || len(s.servers) >= serversToBlock
+	s.until = now.Add(l.memory(s))
 }
 
 // Completed clears a request that a backend server answered: what ran beside it was to blame.
-func (l *List) Completed(f Fingerprint) {
+func (l *List) Completed(now time.Time, f Fingerprint) {
+	l.rotate(now)
+	if len(l.recent) < maxRecent {
+		l.recent[f] = true
+	}
 	if s := l.suspects[f]; s != nil && !s.blocked {
 		l.remove(f)
 	}
 }
 
+func (l *List) rotate(now time.Time) {
+	switch passed := now.Sub(l.rotated); {
+	case passed < l.config.RecentTime:
+		return
+	case passed < 2*l.config.RecentTime:
+		l.recent, l.older = l.older, l.recent
+	default:
+		clear(l.older)
+	}
+	clear(l.recent)
+	l.rotated = now
+}
+
 // Servers returns the backend servers that a request ended.
 func (l *List) Servers(f Fingerprint) []ServerName {
 	if s := l.suspects[f]; s != nil {
@@ -92,11 +133,10 @@
 	l.expire(now)
 	s := l.suspects[f]
 	if s == nil {
-		s = &suspect{}
+		s = &suspect{until: now.Add(l.config.ShortMemory)}
 		l.suspects[f] = s
 		l.order = append(l.order, f)
 	}
-	s.until = now.Add(l.config.Memory)
 	if len(l.order) > MaxSuspects {
 		l.remove(l.order[0])
 	}
--- a/pkg/jyretry/policy.go
+++ b/pkg/jyretry/policy.go
@@ -36,7 +36,9 @@
 
 // Decide returns what follows the failure; take asks the retry budget and is called only if all else allows a retry.
 func Decide(r Request, f Failure, take func() bool) Decision {
-	if mayRetry(r, f) && take() {
+	// A connection that did not open cost no backend server any work, so that its retry is free.
+	free := f.CertainlyNotRun && f.Reason == jyoutcome.ConnectFailed
+	if mayRetry(r, f) && (free || take()) {
 		return Decision{Retry: true}
 	}
 	return Decision{Refusal: RefusalFor(r, f)}
--- /dev/null
+++ b/scenario/fleet_test.go
@@ -0,0 +1,288 @@
+package scenario_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/jackdawyard/jackdawyard/internal/jynode"
+	"github.com/jackdawyard/jackdawyard/internal/jyplatform"
+	"github.com/jackdawyard/jackdawyard/internal/jyproxy"
+	"github.com/jackdawyard/jackdawyard/internal/jystandin"
+	"github.com/jackdawyard/jackdawyard/pkg/jynote"
+	"github.com/jackdawyard/jackdawyard/pkg/jyoutcome"
+)
+
+var program string
+
+func TestMain(m *testing.M) {
+	folder, err := os.MkdirTemp("", "scenario")
+	if err != nil {
+		panic(err)
+	}
+	program = filepath.Join(folder, "jackdawyard")
+	if out, err := exec.Command("go", "build", "-o", program, "..").CombinedOutput(); err != nil {
+		panic(string(out))
+	}
+	code := m.Run()
+	_ = os.RemoveAll(folder)
+	os.Exit(code)
+}
+
+const (
+	patience     = 30 * time.Second
+	pollInterval = 20 * time.Millisecond
+	serviceName  = "ledger"
+	serverSlots  = 4
+)
+
+// fleet is a number of entry instances, each a process of its own, with stand-ins in the test's process.
+type fleet struct {
+	t        *testing.T
+	platform *jystandin.Platform
+	url      string
+	servers  []*jystandin.BackendServer
+	address  []string
+	entries  []*entry
+	folder   string
+}
+
+// entry is one entry instance.
+type entry struct {
+	name     string
+	file     string
+	caller   string
+	operator string
+	process  *exec.Cmd
+	ended    chan struct{}
+}
+
+func newFleet(t *testing.T, entries, servers int) *fleet {
+	f := &fleet{t: t, folder: t.TempDir()}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	address := f.free()
+	f.url = "http://" + address
+	f.platform = jystandin.NewPlatform(address)
+	go func() { _ = f.platform.Run(ctx) }()
+	for i := range servers {
+		f.address = append(f.address, f.free())
+		s := jystandin.NewBackendServer(jystandin.ServerConfig{
+			Name: serverName(i), Address: f.address[i], Slots: serverSlots, Queue: 2 * serverSlots, Latency: 5 * time.Millisecond, Spread: 0.2,
+		})
+		f.servers = append(f.servers, s)
+		go func() { _ = s.Run(ctx) }()
+	}
+	var list jyplatform.InstanceList
+	for i := range entries {
+		list.Instances = append(list.Instances, f.prepare(i))
+	}
+	f.platform.SetInstances(list)
+	f.platform.Publish(1, f.note(1, nil))
+	for _, e := range f.entries {
+		f.start(e)
+	}
+	f.waitFor("all instances are ready", func() bool { return f.inForce(1) })
+	return f
+}
+
+func serverName(i int) string { return fmt.Sprintf("ledger-%d", i+1) }
+
+func (f *fleet) free() string {
+	a, err := jystandin.FreeAddress()
+	require.NoError(f.t, err)
+	return a
+}
+
+func (f *fleet) prepare(i int) jyplatform.Instance {
+	peer := f.free()
+	e := &entry{name: fmt.Sprintf("entry-%d", i+1), caller: f.free(), operator: f.free()}
+	e.file = filepath.Join(f.folder, e.name+".ini")
+	centre := fmt.Sprintf("dc-%d", i%3+1)
+	text := fmt.Sprintf("[Instance]\nName = %s\nDataCentre = %s\nCallerAddress = %s\nPeerAddress = %s\nOperatorAddress = %s\nBalancerNotice = 300ms\n"+
+		"[Platform]\nConfigurationAddress = %s\nPollInterval = 1s\n[Peers]\nSharedKey = scenario-key-of-16\nHeartbeatInterval = 100ms\nReportInterval = 200ms\n"+
+		"[Callers]\nCallerRate = 100000\nCallerBurst = 100000\nCallerConcurrency = 10000\n",
+		e.name, centre, e.caller, peer, e.operator, f.url)
+	require.NoError(f.t, os.WriteFile(e.file, []byte(text), 0o600))
+	f.entries = append(f.entries, e)
+	return jyplatform.Instance{Name: e.name, PeerAddress: peer, DataCentre: centre, State: jyplatform.Live}
+}
+
+// start runs an entry instance; it is killed when the test ends.
+func (f *fleet) start(e *entry) {
+	log, err := os.OpenFile(filepath.Join(f.folder, e.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	require.NoError(f.t, err)
+	e.process = exec.Command(program, "serve", "--settings", e.file)
+	e.process.Stderr = log
+	require.NoError(f.t, e.process.Start())
+	e.ended = make(chan struct{})
+	go func(p *exec.Cmd, ended chan struct{}) {
+		_ = p.Wait()
+		_ = log.Close()
+		close(ended)
+	}(e.process, e.ended)
+	f.t.Cleanup(func() { f.end(e, syscall.SIGKILL) })
+}
+
+// end sends the signal and waits until the process has ended.
+func (f *fleet) end(e *entry, s syscall.Signal) {
+	_ = e.process.Process.Signal(s)
+	<-e.ended
+}
+
+func (f *fleet) signal(e *entry, s syscall.Signal) {
+	require.NoError(f.t, e.process.Process.Signal(s))
+}
+
+// note returns a base note for the fleet's service.
+func (f *fleet) note(n jynote.Number, change func(*jynote.Note)) []byte {
+	v := jynote.Note{Number: n, Base: true}
+	v.Added.Services = []jynote.Service{{
+		Name: serviceName, Floor: serverSlots, DeadlineMilliseconds: 4000, ServerDaysPerFalseEjection: 1000, MaxBodyBytes: 1 << 20,
+		Objective:   jynote.Objective{SuccessShare: 0.999, LatencyMilliseconds: 500},
+		NotRunMarks: []jynote.Mark{{Header: jystandin.NotRunHeader, Value: jystandin.MarkValue}},
+		ShedMark:    jynote.Mark{Header: jystandin.ShedHeader, Value: jystandin.MarkValue},
+		DrainMark:   jynote.Mark{Header: jystandin.DrainHeader, Value: jystandin.MarkValue},
+	}}
+	v.Added.Routes = []jynote.Route{{Name: "all", PathPrefix: "/", Service: serviceName}}
+	for i, a := range f.address {
+		v.Added.BackendServers = append(v.Added.BackendServers, jynote.BackendServer{
+			Name: jynote.ServerName(serverName(i)), Service: serviceName, Address: a, DataCentre: "dc-1", Slots: serverSlots, Connections: 300,
+		})
+	}
+	if change != nil {
+		change(&v)
+	}
+	raw, err := json.Marshal(v)
+	require.NoError(f.t, err)
+	return raw
+}
+
+func (f *fleet) waitFor(what string, done func() bool) {
+	f.t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(pollInterval) {
+		if done() {
+			return
+		}
+	}
+	f.t.Fatalf("waited in vain until %s\n%s", what, f.logs())
+}
+
+func (f *fleet) logs() string {
+	var b strings.Builder
+	for _, e := range f.entries {
+		raw, _ := os.ReadFile(filepath.Join(f.folder, e.name+".log"))
+		fmt.Fprintf(&b, "%s:\n%s\n", e.name, raw)
+	}
+	return b.String()
+}
+
+func (f *fleet) status(e *entry) (jynode.Status, bool) {
+	var s jynode.Status
+	resp, err := http.Get("http://" + e.operator + jynode.PathStatus)
+	if err != nil {
+		return s, false
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return s, json.NewDecoder(resp.Body).Decode(&s) == nil
+}
+
+// inForce reports whether all running instances are ready with this note or a later one.
+func (f *fleet) inForce(n jynote.Number) bool {
+	for _, e := range f.entries {
+		if s, ok := f.status(e); !ok || !s.Ready || s.Release.Number < n || len(s.Members) < len(f.entries)-1 {
+			return false
+		}
+	}
+	return true
+}
+
+// reply is what a caller got; Broken if it got no whole answer.
+type reply struct {
+	broken  bool
+	status  int
+	outcome jyoutcome.Outcome
+	reason  jyoutcome.Reason
+	header  http.Header
+	body    []byte
+}
+
+var client = &http.Client{Timeout: patience, Transport: &http.Transport{MaxIdleConnsPerHost: 100}}
+
+func (f *fleet) send(e *entry, method, path, token, id, body string) reply {
+	req, err := http.NewRequest(method, "http://"+e.caller+path, strings.NewReader(body))
+	require.NoError(f.t, err)
+	req.Header.Set("Authorization", "one caller")
+	req.Header.Set(jystandin.TokenHeader, token)
+	if id != "" {
+		req.Header.Set(jyproxy.HeaderIdempotencyKey, id)
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return reply{broken: true}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	raw, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return reply{broken: true}
+	}
+	out := reply{status: resp.StatusCode, outcome: jyoutcome.Outcome(resp.Header.Get(jyoutcome.Header)), header: resp.Header, body: raw}
+	var problem struct {
+		Reason jyoutcome.Reason `json:"reason"`
+	}
+	if out.outcome != jyoutcome.Complete && json.Unmarshal(raw, &problem) == nil {
+		out.reason = problem.Reason
+	}
+	return out
+}
+
+// issue returns a request id of the entry.
+func (f *fleet) issue(e *entry) string {
+	r := f.send(e, http.MethodPost, jyproxy.RequestIDPath, "", "", "")
+	var out struct{ RequestIds []string }
+	require.NoError(f.t, json.Unmarshal(r.body, &out))
+	require.Len(f.t, out.RequestIds, 1)
+	return out.RequestIds[0]
+}
+
+// effects returns how often the request of the token took effect.
+func (f *fleet) effects(token string) int {
+	n := 0
+	for _, s := range f.servers {
+		n += s.Counts().Effects[token]
+	}
+	return n
+}
+
+func (f *fleet) requests() uint64 {
+	var n uint64
+	for _, s := range f.servers {
+		n += s.Counts().Requests
+	}
+	return n
+}
+
+// ejected returns the servers that an instance holds as ejected by the fleet.
+func (f *fleet) ejected(e *entry) []string {
+	s, _ := f.status(e)
+	var out []string
+	for _, v := range s.Services {
+		for _, b := range v.Servers {
+			if b.By == "Fleet" && b.Phase == "Ejected" {
+				out = append(out, string(b.Server))
+			}
+		}
+	}
+	return out
+}
