--- /dev/null
+++ b/pkg/jyretry/policy_test.go
@@ -0,0 +1,70 @@
+package jyretry_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/jackdawyard/jackdawyard/pkg/jyoutcome"
+	"github.com/jackdawyard/jackdawyard/pkg/jyretry"
+)
+
+func TestDecide(t *testing.T) {
+	lost := jyretry.Failure{Reason: jyoutcome.AnswerLost}
+	notRun := jyretry.Failure{Reason: jyoutcome.DeclaredNotRun, CertainlyNotRun: true}
+	refused := jyretry.Failure{Reason: jyoutcome.ConnectFailed, CertainlyNotRun: true}
+	tests := map[string]struct {
+		request jyretry.Request
+		failure jyretry.Failure
+		budget  bool
+		retry   bool
+		outcome jyoutcome.Outcome
+	}{
+		"an idempotent request is retried":                 {jyretry.Request{Idempotent: true, Replayable: true, Attempts: 1, Remaining: time.Second}, lost, true, true, ""},
+		"without budget it is not":                         {jyretry.Request{Idempotent: true, Replayable: true, Attempts: 1, Remaining: time.Second}, lost, false, false, jyoutcome.Unknown},
+		"a non-idempotent one that may have run never is":  {jyretry.Request{Replayable: true, Attempts: 1, Remaining: time.Second}, lost, true, false, jyoutcome.Unknown},
+		"a non-idempotent one that did not run is":         {jyretry.Request{Replayable: true, Attempts: 1, Remaining: time.Second}, notRun, true, true, ""},
+		"a connection that did not open costs no budget":   {jyretry.Request{Replayable: true, Attempts: 1, Remaining: time.Second}, refused, false, true, ""},
+		"a body that is gone cannot be sent again":         {jyretry.Request{Idempotent: true, Attempts: 1, Remaining: time.Second}, notRun, true, false, jyoutcome.NotRun},
+		"the attempts are bounded":                         {jyretry.Request{Replayable: true, Attempts: jyretry.MaxAttempts, Remaining: time.Second}, notRun, true, false, jyoutcome.NotRun},
+		"past the deadline it ends":                        {jyretry.Request{Idempotent: true, Replayable: true, Attempts: 1}, notRun, true, false, jyoutcome.NotRun},
+		"an earlier attempt may have run":                  {jyretry.Request{Idempotent: true, Replayable: true, Attempts: 2, MayHaveRun: true}, notRun, true, false, jyoutcome.Unknown},
+		"a refusal tells the caller when to ask again too": {jyretry.Request{Attempts: 1}, notRun, true, false, jyoutcome.NotRun},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			d := jyretry.Decide(tt.request, tt.failure, func() bool { return tt.budget })
+			assert.Equal(t, tt.retry, d.Retry)
+			assert.Equal(t, tt.outcome, d.Refusal.Outcome)
+			if !d.Retry {
+				assert.Positive(t, d.Refusal.RetryAfter)
+			}
+		})
+	}
+}
+
+func TestRetriesStayWithinTheirShare(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const share = 0.1
+		b := jyretry.NewBudget(share)
+		requests, retries := 0, 0
+		for range rapid.IntRange(1, 500).Draw(t, "steps") {
+			if rapid.Bool().Draw(t, "request") {
+				b.Request()
+				requests++
+			} else if b.Take() {
+				retries++
+			}
+			require.LessOrEqual(t, float64(retries), 1+share*float64(requests)+1e-6)
+		}
+	})
+}
+
+func TestBackoffGrowsToItsBound(t *testing.T) {
+	assert.Equal(t, jyretry.FirstBackoff, jyretry.Backoff(1))
+	assert.Equal(t, 2*jyretry.FirstBackoff, jyretry.Backoff(2))
+	assert.Equal(t, jyretry.MaxBackoff, jyretry.Backoff(1000))
+}
--- /dev/null
+++ b/pkg/jyroute/table_test.go
@@ -0,0 +1,80 @@
+package jyroute_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/jackdawyard/jackdawyard/pkg/jynote"
+	"github.com/jackdawyard/jackdawyard/pkg/jyroute"
+)
+
+func state(routes ...jynote.Route) jynote.State {
+	return jynote.State{Number: 1, Services: []jynote.Service{{Name: "a"}, {Name: "b", IdempotentMethods: []string{"PUT"}}}, Routes: routes}
+}
+
+func TestFind(t *testing.T) {
+	yes := true
+	table := jyroute.NewTable(state(
+		jynote.Route{Name: "root", PathPrefix: "/", Service: "a"},
+		jynote.Route{Name: "orders", PathPrefix: "/orders/", Service: "b"},
+		jynote.Route{Name: "search", PathPrefix: "/orders/search", Methods: []string{"POST"}, Service: "b", Idempotent: &yes},
+	))
+	tests := map[string]struct {
+		method, path string
+		want         jynote.RouteName
+		idempotent   bool
+	}{
+		"the root takes what is left":        {"GET", "/other", "root", true},
+		"the longest prefix wins":            {"PUT", "/orders/7", "orders", true},
+		"a prefix ends at a slash":           {"GET", "/orders7", "root", true},
+		"a service says what is idempotent":  {"GET", "/orders", "orders", false},
+		"a route says so before its service": {"POST", "/orders/search/x", "search", true},
+		"a route is for its methods":         {"PUT", "/orders/search/x", "orders", true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			m, ok := table.Find(tt.method, tt.path)
+			require.True(t, ok)
+			assert.Equal(t, tt.want, m.Route)
+			assert.Equal(t, tt.idempotent, m.Idempotent)
+		})
+	}
+}
+
+// naive looks at all routes.
+func naive(routes []jynote.Route, path string) (jynote.RouteName, bool) {
+	best, found := jynote.Route{}, false
+	for _, r := range routes {
+		prefix := strings.TrimSuffix(r.PathPrefix, "/")
+		if path != prefix && !strings.HasPrefix(path, prefix+"/") {
+			continue
+		}
+		if !found || len(prefix) > len(strings.TrimSuffix(best.PathPrefix, "/")) {
+			best, found = r, true
+		}
+	}
+	return best.Name, found
+}
+
+func TestFindAgreesWithANaiveSearch(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		path := rapid.StringMatching(`(/[ab]{1,2}){1,4}/?`)
+		var routes []jynote.Route
+		seen := map[string]bool{}
+		for _, p := range rapid.SliceOfN(path, 1, 12).Draw(t, "prefixes") {
+			if key := strings.TrimSuffix(p, "/"); !seen[key] {
+				seen[key] = true
+				routes = append(routes, jynote.Route{Name: jynote.RouteName(p), PathPrefix: p, Service: "a"})
+			}
+		}
+		asked := path.Draw(t, "path")
+		want, found := naive(routes, strings.TrimSuffix(asked, "/"))
+		got, ok := jyroute.NewTable(state(routes...)).Find("GET", asked)
+		require.Equal(t, found, ok)
+		require.Equal(t, want, got.Route)
+	})
+}
