Mend the roles that would have grown with nodes times targets

Cause: worked out for 530 nodes and 4,400 targets, five mechanisms went over their budgets or failed: each node would have opened two connections to each target (1,060 of 300 allowed); each change would have moved the whole state (about 1 MB, 9.1 KB/s a node); reports without failures would have cost a message a second to each pooling instance; nodes that start during an outage would have read the list five times a second each; a hand-over would not have fitted a message. Ruled out: one connection to each target (530 of 300); a subset chosen by position in the list, which moves with each lag of the list.

--- a/internal/jybackend/directory.go
+++ b/internal/jybackend/directory.go
@@ -9,6 +9,7 @@
 	"github.com/jackdawyard/jackdawyard/pkg/jynote"
 	"github.com/jackdawyard/jackdawyard/pkg/jyretry"
 	"github.com/jackdawyard/jackdawyard/pkg/jyroute"
+	"github.com/jackdawyard/jackdawyard/pkg/jysubset"
 )
 
 // Config sets up a Directory.
@@ -16,8 +17,11 @@
 	ConnectTimeout   time.Duration
 	MaxIdle          time.Duration
 	RetryBudgetShare float64
-	// ShareConnections returns how many of a server's connections this instance may open.
-	ShareConnections func(total int) int
+	Instance         string
+	// Instances returns how many instances share the backend servers.
+	Instances func() int
+	// IsNear reports whether a data centre is in this instance's region.
+	IsNear func(jynote.DataCentreName) bool
 }
 
 // Directory holds the services and backend servers of the release note in force.
@@ -77,7 +81,14 @@
 		v := next.services[b.Service]
 		v.Servers = append(v.Servers, s)
 	}
+	near := map[jynote.DataCentreName]bool{}
+	for _, b := range state.BackendServers {
+		if _, known := near[b.DataCentre]; !known {
+			near[b.DataCentre] = d.config.IsNear(b.DataCentre)
+		}
+	}
 	for _, v := range next.services {
+		d.rank(v, near)
 		var fleet, local []jydetector.Verdict
 		if o := old.services[v.Info.Name]; o != nil {
 			fleet, local = o.Verdicts()
@@ -91,6 +102,19 @@
 	}
 }
 
+// rank puts the servers into the order in which this instance uses them.
+func (d *Directory) rank(v *Service, near map[jynote.DataCentreName]bool) {
+	list := make([]jysubset.Server, 0, len(v.Servers))
+	for _, s := range v.Servers {
+		list = append(list, jysubset.Server{Name: string(s.Info.Name), IsNear: near[s.Info.DataCentre]})
+	}
+	ranked := make([]*Server, 0, len(list))
+	for _, i := range jysubset.Rank(d.config.Instance, list) {
+		ranked = append(ranked, v.Servers[i])
+	}
+	v.Servers = ranked
+}
+
 func (s *Snapshot) serversByName() map[jynote.ServerName]*Server {
 	all := map[jynote.ServerName]*Server{}
 	for _, v := range s.services {
@@ -103,6 +127,9 @@
 
 func (d *Directory) service(info jynote.Service, old *Service) *Service {
 	v := &Service{Info: info, latency: newLatency(), budget: jyretry.NewBudget(d.config.RetryBudgetShare)}
+	v.plan = func(servers, connections int) jysubset.Plan {
+		return jysubset.PlanFor(d.config.Instances(), servers, connections)
+	}
 	if old != nil {
 		v.latency = old.latency
 	}
@@ -115,7 +142,6 @@
 	}
 	return &Server{Info: info, Pool: NewPool(PoolConfig{
 		Address:        info.Address,
-		MaxConnections: d.config.ShareConnections(info.Connections),
 		ConnectTimeout: d.config.ConnectTimeout,
 		MaxIdle:        d.config.MaxIdle,
 	})}
--- a/internal/jybackend/pool.go
+++ b/internal/jybackend/pool.go
@@ -11,7 +11,6 @@
 // PoolConfig sets up a Pool.
 type PoolConfig struct {
 	Address        string
-	MaxConnections int
 	ConnectTimeout time.Duration
 	MaxIdle        time.Duration
 }
@@ -19,9 +18,10 @@
 // Pool holds the connections of this instance to one backend server.
 type Pool struct {
 	config    PoolConfig
-	transport *http.Transport
 	mu        sync.Mutex
-	idle      []*Connection // most recently used last
+	transport *http.Transport // nil until first used
+	idle      []*Connection   // most recently used last
+	most      int
 	open      int
 	closed    bool
 }
@@ -33,15 +33,30 @@
 	Reused bool
 }
 
-// NewPool returns a pool without connections.
-func NewPool(c PoolConfig) *Pool {
-	dialer := &net.Dialer{Timeout: c.ConnectTimeout}
-	return &Pool{config: c, transport: &http.Transport{
-		DialContext:        dialer.DialContext,
-		DisableCompression: true,
-		WriteBufferSize:    bufferBytes,
-		ReadBufferSize:     bufferBytes,
-	}}
+// NewPool returns a pool without connections; SetMost must follow.
+func NewPool(c PoolConfig) *Pool { return &Pool{config: c} }
+
+// SetMost bounds the connections that may be open.
+func (p *Pool) SetMost(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.most = n
+}
+
+// dialer returns what opens connections; most pools of a large fleet never need one.
+func (p *Pool) dialer() *http.Transport {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.transport == nil {
+		dialer := &net.Dialer{Timeout: p.config.ConnectTimeout}
+		p.transport = &http.Transport{
+			DialContext:        dialer.DialContext,
+			DisableCompression: true,
+			WriteBufferSize:    bufferBytes,
+			ReadBufferSize:     bufferBytes,
+		}
+	}
+	return p.transport
 }
 
 const bufferBytes = 4 << 10
@@ -58,9 +73,9 @@
 func (p *Pool) Open(ctx context.Context, now time.Time) (*Connection, error) {
 	const op = "open connection"
 	if !p.reserve() {
-		return nil, newError(op, Exhausted, "%d connections to %s are in use", p.config.MaxConnections, p.config.Address)
+		return nil, newError(op, Exhausted, "all connections to %s are in use", p.config.Address)
 	}
-	client, err := p.transport.NewClientConn(ctx, "http", p.config.Address)
+	client, err := p.dialer().NewClientConn(ctx, "http", p.config.Address)
 	if err != nil {
 		p.unreserve()
 		return nil, newError(op, ConnectFailed, "%w", err)
@@ -96,12 +111,12 @@
 	if p.closed {
 		return false
 	}
-	if p.open >= p.config.MaxConnections && len(p.idle) > 0 {
+	if p.open >= p.most && len(p.idle) > 0 {
 		oldest := p.idle[0]
 		p.idle = p.idle[1:]
 		p.closeLocked(oldest)
 	}
-	if p.open >= p.config.MaxConnections {
+	if p.open >= p.most {
 		return false
 	}
 	p.open++
--- a/internal/jybackend/service.go
+++ b/internal/jybackend/service.go
@@ -11,6 +11,7 @@
 	"github.com/jackdawyard/jackdawyard/pkg/jynote"
 	"github.com/jackdawyard/jackdawyard/pkg/jyretry"
 	"github.com/jackdawyard/jackdawyard/pkg/jyslot"
+	"github.com/jackdawyard/jackdawyard/pkg/jysubset"
 )
 
 // probationWeight is the share of a full load that a server on probation takes.
@@ -22,13 +23,17 @@
 // Service is this instance's view of one service and its backend servers.
 type Service struct {
 	Info    jynote.Service
-	Servers []*Server // sorted by name
+	Servers []*Server // in the order in which this instance uses them
 	latency *latency
-	view    atomic.Pointer[[]seat]
-	mu      sync.Mutex // guards what follows
-	budget  *jyretry.Budget
-	fleet   []jydetector.Verdict
-	local   []jydetector.Verdict
+	// view holds the seats that this instance uses, and all those of the whole service.
+	view   atomic.Pointer[[]seat]
+	all    atomic.Pointer[[]seat]
+	plan   func(servers, connections int) jysubset.Plan
+	most   atomic.Int32 // requests in flight at one server
+	mu     sync.Mutex   // guards what follows
+	budget *jyretry.Budget
+	fleet  []jydetector.Verdict
+	local  []jydetector.Verdict
 }
 
 // seat is a server with its standing; a view of seats is immutable.
@@ -67,7 +72,7 @@
 // Choose picks a backend server and counts the request in flight there until Release; its error is of kind NoServer.
 func (v *Service) Choose(now time.Time, n Need) (*Server, error) {
 	seats := *v.view.Load()
-	at := func(i int) jyslot.Candidate { return seats[i].candidate(now, n) }
+	at := func(i int) jyslot.Candidate { return seats[i].candidate(now, n, v.limit(seats[i].server)) }
 	// A few tries settle the races for the last place at a server.
 	for range 3 {
 		i := jyslot.Choose(len(seats), at, rand.Uint64(), rand.Uint64())
@@ -75,7 +80,7 @@
 			break
 		}
 		s := seats[i].server
-		if int(s.inFlight.Add(1)) <= s.Info.Slots {
+		if int(s.inFlight.Add(1)) <= v.limit(s) {
 			return s, nil
 		}
 		s.inFlight.Add(-1)
@@ -86,8 +91,11 @@
 // Release ends a request that Choose counted.
 func (s *Server) Release() { s.inFlight.Add(-1) }
 
-func (s seat) candidate(now time.Time, n Need) jyslot.Candidate {
-	c := jyslot.Candidate{Slots: s.server.Info.Slots, InFlight: s.server.InFlight(), Limit: s.server.Info.Slots}
+// limit returns how many requests of this instance may be in flight at the server.
+func (v *Service) limit(s *Server) int { return min(s.Info.Slots, int(v.most.Load())) }
+
+func (s seat) candidate(now time.Time, n Need, limit int) jyslot.Candidate {
+	c := jyslot.Candidate{Slots: s.server.Info.Slots, InFlight: s.server.InFlight(), Limit: limit}
 	for _, x := range n.Exclude {
 		if x == s.server {
 			return c
@@ -155,7 +163,39 @@
 	for _, i := range jyfloor.Readmit(weighed, v.Info.Floor) {
 		seats[i].readmitted = true
 	}
-	v.view.Store(&seats)
+	v.all.Store(&seats)
+	v.choosePart(seats)
+}
+
+// choosePart keeps the first seats that take full load, as many as the plan says, and whatever stands between them.
+func (v *Service) choosePart(seats []seat) {
+	if len(seats) == 0 {
+		v.view.Store(&seats)
+		return
+	}
+	plan := v.plan(len(seats), v.fewestConnections())
+	v.most.Store(int32(plan.Connections))
+	full := 0
+	part := make([]seat, 0, plan.Servers)
+	for _, s := range seats {
+		if full == plan.Servers {
+			break
+		}
+		if s.standing == jyfloor.Serving || s.readmitted {
+			full++
+		}
+		s.server.Pool.SetMost(plan.Connections)
+		part = append(part, s)
+	}
+	v.view.Store(&part)
+}
+
+func (v *Service) fewestConnections() int {
+	fewest := v.Servers[0].Info.Connections
+	for _, s := range v.Servers {
+		fewest = min(fewest, s.Info.Connections)
+	}
+	return fewest
 }
 
 func standingOf(s *Server, fleet, local []jydetector.Verdict) (seat, float64) {
@@ -208,7 +248,7 @@
 // Capacity returns the slots that take requests at full load.
 func (v *Service) Capacity() Capacity {
 	var c Capacity
-	for _, s := range *v.view.Load() {
+	for _, s := range *v.all.Load() {
 		c.AllSlots += s.server.Info.Slots
 		if s.standing == jyfloor.Serving || s.readmitted {
 			c.UsableSlots += s.server.Info.Slots
--- a/internal/jyevidence/evidence.go
+++ b/internal/jyevidence/evidence.go
@@ -1,7 +1,9 @@
 package jyevidence
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"github.com/jackdawyard/jackdawyard/internal/jybackend"
@@ -36,6 +38,7 @@
 	config  Config
 	urgent  *jyring.Ring[jynote.ServiceName]
 	sent    map[sentKey]jydetector.Counts
+	turn    int // of the services that are reported without urgency
 	local   map[jynote.ServiceName]*jydetector.Detector
 	pool    *pool
 	changed *jyring.Ring[jynote.ServiceName] // services whose pooled verdicts changed
@@ -59,11 +62,14 @@
 // OnEvidence makes the next report of the service an early one.
 func (e *Evidence) OnEvidence(s jynote.ServiceName) { e.urgent.Push(s) }
 
-// urgentFraction is the part of the report interval after which failures are reported at the latest.
-const urgentFraction = 50
-
-// pooledBy is the number of instances that a service's reports may go to: the first that answers takes them.
-const pooledBy = 2
+const (
+	// urgentFraction is the part of the report interval after which failures are reported at the latest.
+	urgentFraction = 50
+	// pooledBy is the number of instances that a service's reports may go to: the first that answers takes them.
+	pooledBy = 2
+	// quietMessages bounds the messages without urgency in one interval; the services take turns in them.
+	quietMessages = 4
+)
 
 // Run reports until ctx ends.
 func (e *Evidence) Run(ctx context.Context) error {
@@ -75,30 +81,55 @@
 			return nil
 		case <-ticker.C:
 		}
-		services := map[jynote.ServiceName]bool{}
-		for _, s := range e.urgent.Drain(nil) {
-			services[s] = true
+		e.reportUrgent(ctx)
+		if n%urgentFraction == 0 {
+			e.reportQuiet(ctx)
 		}
-		e.report(ctx, e.config.Directory.Snapshot(), services, n%urgentFraction == 0)
 		e.tell(ctx)
 	}
 }
 
-// report sends the new counts of the named services, or of all, to the instances that pool them.
-func (e *Evidence) report(ctx context.Context, snapshot *jybackend.Snapshot, urgent map[jynote.ServiceName]bool, all bool) {
-	now := time.Now()
+// reportUrgent sends what is new of the services with failures.
+func (e *Evidence) reportUrgent(ctx context.Context) {
+	names := e.urgent.Drain(nil)
+	if len(names) == 0 {
+		return
+	}
+	slices.Sort(names)
 	batches := map[jymember.Name]*batch{}
-	for _, v := range snapshot.Services() {
-		if !all && !urgent[v.Info.Name] {
-			continue
+	snapshot := e.config.Directory.Snapshot()
+	for _, name := range slices.Compact(names) {
+		if v := snapshot.Service(name); v != nil {
+			e.collect(batches, v)
 		}
-		totals := e.totals(v)
-		e.judgeLocally(now, v, totals)
-		if len(totals) == 0 {
-			continue
+	}
+	e.sendAll(ctx, batches)
+}
+
+// reportQuiet sends what is new of the services whose turn it is.
+func (e *Evidence) reportQuiet(ctx context.Context) {
+	services := e.config.Directory.Snapshot().Services()
+	batches := map[jymember.Name]*batch{}
+	for range services {
+		if len(batches) == quietMessages {
+			break
 		}
+		e.turn = (e.turn + 1) % len(services)
+		e.collect(batches, services[e.turn])
+	}
+	e.sendAll(ctx, batches)
+}
+
+// collect adds what is new of a service to the batch for its pooling instance.
+func (e *Evidence) collect(batches map[jymember.Name]*batch, v *jybackend.Service) {
+	totals := e.totals(v)
+	e.judgeLocally(time.Now(), v, totals)
+	if len(totals) > 0 {
 		e.assign(batches, v.Info.Name, totals)
 	}
+}
+
+func (e *Evidence) sendAll(ctx context.Context, batches map[jymember.Name]*batch) {
 	for _, b := range batches {
 		go e.send(ctx, b)
 	}
@@ -144,5 +175,6 @@
 	for _, s := range v.Servers {
 		out = append(out, jydetector.Server{Name: jydetector.ServerName(s.Info.Name), Slots: s.Info.Slots})
 	}
+	slices.SortFunc(out, func(a, b jydetector.Server) int { return cmp.Compare(a.Name, b.Name) })
 	return out
 }
--- a/internal/jynode/node.go
+++ b/internal/jynode/node.go
@@ -82,7 +82,7 @@
 	clients := jypeer.NewClients(credentials)
 	n.directory = jybackend.NewDirectory(jybackend.Config{
 		ConnectTimeout: s.ConnectTimeout, MaxIdle: maxIdle, RetryBudgetShare: s.RetryBudgetShare,
-		ShareConnections: n.shareConnections,
+		Instance: s.Name, Instances: n.countInstances, IsNear: n.isNear,
 	})
 	n.makeFleet(clients)
 	n.makeProxy(clients)
@@ -102,6 +102,7 @@
 		Retention:      n.settings.RequestIDRetention,
 		MaxRecords:     n.settings.RequestIDs,
 		MaxReplayBytes: int(n.settings.MaxReplayBytes),
+		MaxKeptBytes:   int(n.settings.MaxKeptBytes),
 	})
 	return nil
 }
@@ -185,6 +186,19 @@
 	return nil
 }
 
+// countInstances returns the instances that share the backend servers.
+func (n *Node) countInstances() int { return len(n.fleet.Working()) }
+
+// isNear reports whether a data centre is in this instance's region; one of which no instance is known counts as near.
+func (n *Node) isNear(centre jynote.DataCentreName) bool {
+	for _, m := range n.fleet.Working() {
+		if m.DataCentre == string(centre) {
+			return m.Region == n.settings.Region
+		}
+	}
+	return true
+}
+
 func (n *Node) apply(s jynote.State) { n.directory.Apply(s) }
 
 // Run serves until ctx ends, and then shuts down gracefully.
--- a/internal/jypeer/convert_request.go
+++ b/internal/jypeer/convert_request.go
@@ -65,9 +65,11 @@
 	return r
 }
 
-// HandOverToWire converts a hand-over.
-func HandOverToWire(h jydedup.HandOver) *jywire.HandOverRequest {
+// HandOverToWire converts one of several parts of a hand-over, counted from 0.
+func HandOverToWire(h jydedup.HandOver, part, parts int) *jywire.HandOverRequest {
 	w := &jywire.HandOverRequest{
+		Part:                uint32(part),
+		Parts:               uint32(parts),
 		Issuer:              &jywire.Run{Name: string(h.Issuer.Instance), Boot: uint64(h.Issuer.Boot)},
 		Secret:              h.Secret,
 		ElapsedMilliseconds: h.Elapsed.Milliseconds(),
--- a/internal/jyrelay/errors.go
+++ b/internal/jyrelay/errors.go
@@ -10,6 +10,7 @@
 	NoHolder    ErrorKind = "NoHolder"
 	Unreachable ErrorKind = "Unreachable"
 	NotSealed   ErrorKind = "NotSealed"
+	MissingPart ErrorKind = "MissingPart"
 )
 
 // Error is the error type of this package.
--- a/internal/jyrelay/relay.go
+++ b/internal/jyrelay/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"connectrpc.com/connect"
@@ -41,10 +42,20 @@
 type Relay struct {
 	config  Config
 	decider Decider
+	mu      sync.Mutex
+	parts   map[jydedup.Issuer]partial
+}
+
+// partial is a hand-over that is not whole yet.
+type partial struct {
+	joined jydedup.HandOver
+	next   uint32
 }
 
 // New returns a relay; SetDecider must follow before peers call.
-func New(c Config) *Relay { return &Relay{config: c} }
+func New(c Config) *Relay {
+	return &Relay{config: c, parts: map[jydedup.Issuer]partial{}}
+}
 
 // SetDecider tells what runs the requests that peers relay.
 func (r *Relay) SetDecider(d Decider) { r.decider = d }
@@ -114,14 +125,13 @@
 	var successor *jymember.Run
 	records := 0
 	for _, h := range list {
-		resp, err := r.config.Clients.At(m.Address).HandOver(ctx, connect.NewRequest(jypeer.HandOverToWire(h)))
+		run, err := r.handParts(ctx, m, h)
 		if err != nil && successor != nil {
-			return successor, newError("hand request ids over", Unreachable, "after the first part: %v", err)
+			return successor, newError("hand request ids over", Unreachable, "after the first issuer: %v", err)
 		}
 		if err != nil {
 			return nil, err
 		}
-		run := jypeer.RunFromWire(resp.Msg.GetSuccessor())
 		successor = &run
 		records += len(h.Records)
 		from := jymember.Run{Name: jymember.Name(h.Issuer.Instance), Boot: jymember.Boot(h.Issuer.Boot)}
@@ -131,6 +141,23 @@
 	return successor, nil
 }
 
+// handParts brings one issuer's ids in parts, of which the last makes the successor decide about them.
+func (r *Relay) handParts(ctx context.Context, m jymember.Member, h jydedup.HandOver) (jymember.Run, error) {
+	var run jymember.Run
+	parts := h.Split(recordsPerPart)
+	for i, part := range parts {
+		resp, err := r.config.Clients.At(m.Address).HandOver(ctx, connect.NewRequest(jypeer.HandOverToWire(part, i, len(parts))))
+		if err != nil {
+			return run, err
+		}
+		run = jypeer.RunFromWire(resp.Msg.GetSuccessor())
+	}
+	return run, nil
+}
+
+// recordsPerPart keeps a part with the largest answers within a message's bound.
+const recordsPerPart = 100
+
 // successorsAsked is the number of instances that are asked in turn.
 const successorsAsked = 3
 
@@ -138,14 +165,40 @@
 
 // TakeOver takes the ids of an instance that shuts down.
 func (r *Relay) TakeOver(_ context.Context, q *connect.Request[jywire.HandOverRequest]) (*connect.Response[jywire.HandOverResponse], error) {
-	h := jypeer.HandOverFromWire(q.Msg)
-	if err := r.config.Ledger.Take(h); err != nil {
+	h, whole, err := r.joinParts(q.Msg)
+	if err == nil && whole {
+		err = r.config.Ledger.Take(h)
+	}
+	if err != nil {
 		return nil, connect.NewError(connect.CodeFailedPrecondition, err)
 	}
 	self := r.config.Fleet.Self()
 	run := jymember.Run{Name: self.Name, Boot: self.Boot}
+	if !whole {
+		return connect.NewResponse(&jywire.HandOverResponse{Successor: jypeer.RunToWire(run)}), nil
+	}
 	from := jymember.Run{Name: jymember.Name(h.Issuer.Instance), Boot: jymember.Boot(h.Issuer.Boot)}
 	r.config.Fleet.AddSuccession(jymember.Succession{From: from, To: run})
 	jylog.HandOverTaken.Log(h.Issuer.Instance, len(h.Records))
 	return connect.NewResponse(&jywire.HandOverResponse{Successor: jypeer.RunToWire(run)}), nil
 }
+
+// joinParts adds a part to those that came before, and returns the hand-over when it is whole; a first part begins anew.
+func (r *Relay) joinParts(w *jywire.HandOverRequest) (h jydedup.HandOver, whole bool, err error) {
+	h = jypeer.HandOverFromWire(w)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if w.GetPart() > 0 {
+		p := r.parts[h.Issuer]
+		if p.next != w.GetPart() {
+			return h, false, newError("take request ids over", MissingPart, "part %d came in place of %d", w.GetPart(), p.next)
+		}
+		h.Records = append(p.joined.Records, h.Records...)
+	}
+	if w.GetPart()+1 < w.GetParts() {
+		r.parts[h.Issuer] = partial{joined: h, next: w.GetPart() + 1}
+		return h, false, nil
+	}
+	delete(r.parts, h.Issuer)
+	return h, true, nil
+}
--- a/internal/jyrelease/compare.go
+++ b/internal/jyrelease/compare.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -10,13 +11,14 @@
 	"github.com/jackdawyard/jackdawyard/pkg/jymember"
 )
 
-const compareTry = 200 * time.Millisecond
+const compareTry = 100 * time.Millisecond
 
 // compare asks peers what is in force before this instance serves, so that a stale configuration service cannot take it
 // back to an older note: it ends when a ready peer has answered, or when most of the listed instances have answered and
 // none was ready, as in a fleet that starts. While the list is away, only a ready peer's answer ends it.
 func (r *Release) compare(ctx context.Context) {
 	reached := map[string]bool{}
+	delay := compareTry
 	for ctx.Err() == nil {
 		list, err := r.config.Platform.Instances(ctx)
 		if err != nil {
@@ -28,7 +30,9 @@
 			r.compared.Store(true)
 			return
 		}
-		wait(ctx, compareTry)
+		wait(ctx, delay+rand.N(delay))
+		// A fleet that starts while the service is away must not press on it.
+		delay = min(2*delay, r.config.PollInterval)
 	}
 }
 
--- a/internal/jyrelease/release.go
+++ b/internal/jyrelease/release.go
@@ -199,8 +199,10 @@
 }
 
 // Offer takes a note from the configuration service.
-func (r *Release) Offer(n jynote.Number, raw []byte) {
-	r.change("ConfigurationService", func() {
+func (r *Release) Offer(n jynote.Number, raw []byte) { r.offer("ConfigurationService", n, raw) }
+
+func (r *Release) offer(source string, n jynote.Number, raw []byte) {
+	r.change(source, func() {
 		verdict, err := r.sequence.Offer(n, raw)
 		switch verdict {
 		case jynote.Refused:
@@ -281,6 +283,10 @@
 		return answer{}
 	}
 	out := answer{reached: true, ready: resp.Msg.GetReady()}
+	source := "Peer " + address
+	for _, n := range resp.Msg.GetNotes() {
+		r.offer(source, jynote.Number(n.GetNumber()), n.GetPublished())
+	}
 	if len(resp.Msg.GetState()) == 0 {
 		return out
 	}
@@ -288,7 +294,7 @@
 	if err != nil {
 		return answer{}
 	}
-	r.change("Peer "+address, func() { r.sequence.Adopt(state) })
+	r.change(source, func() { r.sequence.Adopt(state) })
 	return out
 }
 
@@ -300,11 +306,20 @@
 
 // FetchState answers a peer that asks for the state in force.
 func (r *Release) FetchState(_ context.Context, q *connect.Request[jywire.FetchStateRequest]) (*connect.Response[jywire.FetchStateResponse], error) {
+	above := jynote.Number(q.Msg.GetAbove())
 	r.mu.Lock()
 	state := r.sequence.State()
+	notes, kept := r.sequence.Since(above)
 	r.mu.Unlock()
 	out := &jywire.FetchStateResponse{Ready: r.IsReady()}
-	if uint64(state.Number) > q.Msg.GetAbove() {
+	// A peer with nothing in force needs what came before the notes that are kept.
+	if kept && above > 0 {
+		for _, n := range notes {
+			out.Notes = append(out.Notes, &jywire.Note{Number: uint64(n.Number), Published: n.Raw})
+		}
+		return connect.NewResponse(out), nil
+	}
+	if state.Number > above {
 		raw, err := state.Encode()
 		if err != nil {
 			return nil, connect.NewError(connect.CodeInternal, err)
--- a/internal/jysettings/settings.go
+++ b/internal/jysettings/settings.go
@@ -32,6 +32,7 @@
 	MaxConcurrent       int
 	MaxAnswerBytes      int64
 	MaxReplayBytes      int64
+	MaxKeptBytes        int64
 	RetryBudgetShare    float64
 	ConnectTimeout      time.Duration
 	IdleProofOfLife     time.Duration
--- a/pkg/jydedup/fleet_test.go
+++ b/pkg/jydedup/fleet_test.go
@@ -59,7 +59,7 @@
 	n.boot++
 	n.ledger = jydedup.NewLedger(jydedup.Config{
 		Self: n.self(), Secret: []byte(fmt.Sprintf("secret %s %d", n.name, n.boot)), Boot: w.now,
-		Lifetime: time.Minute, Retention: time.Minute, MaxRecords: 4, MaxReplayBytes: 10,
+		Lifetime: time.Minute, Retention: time.Minute, MaxRecords: 4, MaxReplayBytes: 10, MaxKeptBytes: 100,
 	})
 	n.offered = false
 }
--- a/pkg/jydedup/hand_over.go
+++ b/pkg/jydedup/hand_over.go
@@ -23,6 +23,18 @@
 	Result      Result
 }
 
+// Split divides a hand-over into parts of at most size records, since it travels in messages of bounded size.
+func (h HandOver) Split(size int) []HandOver {
+	var parts []HandOver
+	for rest := h.Records; len(parts) == 0 || len(rest) > 0; {
+		n := min(size, len(rest))
+		part := h
+		part.Records, rest = rest[:n], rest[n:]
+		parts = append(parts, part)
+	}
+	return parts
+}
+
 // Seal makes the ledger start nothing more, and it can't be undone; running requests go on.
 func (l *Ledger) Seal() { l.sealed = true }
 
@@ -66,12 +78,12 @@
 		return newError(op, Misused, "ids of %s are decided here already", h.Issuer.Instance)
 	}
 	e := &estate{issuer: h.Issuer, secret: h.Secret, origin: now.Add(-h.Elapsed), handed: h.Elapsed, used: map[uint64]*record{}}
-	for _, r := range h.Records {
-		e.used[r.Sequence] = &record{caller: r.Caller, fingerprint: r.Fingerprint, age: r.Age, result: r.Result}
-		e.order = append(e.order, r.Sequence)
+	for _, h := range h.Records {
+		r := &record{caller: h.Caller, fingerprint: h.Fingerprint, age: h.Age, result: h.Result}
+		l.add(e, h.Sequence, r)
+		l.keep(r)
 	}
 	l.estates[h.Issuer] = e
-	l.records += len(h.Records)
 	return nil
 }
 
--- a/pkg/jydedup/ledger.go
+++ b/pkg/jydedup/ledger.go
@@ -25,6 +25,8 @@
 	MaxRecords int
 	// MaxReplayBytes bounds the body of an answer that is kept.
 	MaxReplayBytes int
+	// MaxKeptBytes bounds the bodies of all answers that are kept; the oldest make room.
+	MaxKeptBytes int
 }
 
 // Ledger decides for each request id of one process whether its request may start; it is not safe for concurrent use.
@@ -33,6 +35,8 @@
 	sequence uint64
 	estates  map[Issuer]*estate
 	records  int
+	kept     []*record // with an answer, oldest first
+	keptSize int
 	sealed   bool
 }
 
@@ -168,9 +172,36 @@
 		result.Answer = nil
 	}
 	r.result = result
+	l.keep(r)
 	return nil
 }
 
+// keep makes room for the record's answer: an old answer is the least likely to be asked for again.
+func (l *Ledger) keep(r *record) {
+	if r.result.Answer == nil {
+		return
+	}
+	l.kept = append(l.kept, r)
+	l.keptSize += r.size()
+	for l.keptSize > l.config.MaxKeptBytes && len(l.kept) > 0 {
+		l.drop(l.kept[0])
+		l.kept = l.kept[1:]
+	}
+}
+
+// drop forgets a record's answer, and keeps what became of its request.
+func (l *Ledger) drop(r *record) {
+	l.keptSize -= r.size()
+	r.result.Answer = nil
+}
+
+func (r *record) size() int {
+	if r.result.Answer == nil {
+		return 0
+	}
+	return len(r.result.Answer.Body)
+}
+
 // expire drops records whose ids are too old to be answered for; a running one is kept.
 func (l *Ledger) expire(now time.Time, e *estate) {
 	for len(e.order) > 0 {
@@ -178,6 +209,7 @@
 		if r.running || now.Sub(e.origin)-r.age <= l.config.Lifetime+l.config.Retention {
 			return
 		}
+		l.drop(r)
 		delete(e.used, e.order[0])
 		e.order = e.order[1:]
 		l.records--
--- a/pkg/jydedup/ledger_test.go
+++ b/pkg/jydedup/ledger_test.go
@@ -17,7 +17,7 @@
 func newLedger(records int) *jydedup.Ledger {
 	return jydedup.NewLedger(jydedup.Config{
 		Self: jydedup.Issuer{Instance: "entry-1", Boot: 7}, Secret: []byte("secret"), Boot: start,
-		Lifetime: time.Minute, Retention: time.Minute, MaxRecords: records, MaxReplayBytes: 4,
+		Lifetime: time.Minute, Retention: time.Minute, MaxRecords: records, MaxReplayBytes: 4, MaxKeptBytes: 8,
 	})
 }
 
@@ -119,6 +119,39 @@
 	assert.Nil(t, d.Result.Answer)
 }
 
+func TestOldAnswersMakeRoomForYoungOnes(t *testing.T) {
+	l := newLedger(10)
+	var ids []jydedup.ID
+	for range 3 {
+		id := l.Issue(start, "a")
+		ids = append(ids, id)
+		l.Begin(start, id, "a", jydedup.Fingerprint{})
+		require.NoError(t, l.Finish(id, complete("four")))
+	}
+	for i, kept := range []bool{false, true, true} {
+		d := l.Begin(start, ids[i], "a", jydedup.Fingerprint{})
+		assert.Equal(t, jyoutcome.Complete, d.Result.Outcome)
+		assert.Equal(t, kept, d.Result.Answer != nil)
+	}
+}
+
+func TestSplitKeepsAllRecordsInOrder(t *testing.T) {
+	for _, n := range []int{0, 1, 2, 3, 7} {
+		h := jydedup.HandOver{Issuer: jydedup.Issuer{Instance: "a"}, Records: make([]jydedup.HandedRecord, n)}
+		for i := range h.Records {
+			h.Records[i].Sequence = uint64(i)
+		}
+		var joined []jydedup.HandedRecord
+		parts := h.Split(3)
+		for _, p := range parts {
+			assert.Equal(t, h.Issuer, p.Issuer)
+			joined = append(joined, p.Records...)
+		}
+		assert.Len(t, parts, max(1, (n+2)/3))
+		assert.Len(t, joined, n)
+	}
+}
+
 func TestParseIDReadsWhatStringWrote(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		l := newLedger(1)
--- a/pkg/jynote/sequence.go
+++ b/pkg/jynote/sequence.go
@@ -28,6 +28,9 @@
 	MaxWaitingNotes = 64
 	MaxRefusals     = 32
 	MaxDigests      = 1024
+	// MaxRecent bounds the notes that are kept for peers, by number and by size.
+	MaxRecent      = 64
+	MaxRecentBytes = 256 << 10
 )
 
 // Sequence puts release notes in force in the order of their numbers and never goes back; it is not safe for concurrent use.
@@ -35,17 +38,37 @@
 	state     State
 	digests   map[Number]Digest // of notes seen, the latest MaxDigests numbers
 	waiting   map[Number][]byte
+	recent    map[Number][]byte // notes in force or refused, the latest MaxRecent numbers
 	conflicts []Refusal
 }
 
 // NewSequence returns a sequence with nothing in force.
 func NewSequence() *Sequence {
-	return &Sequence{digests: map[Number]Digest{}, waiting: map[Number][]byte{}}
+	return &Sequence{digests: map[Number]Digest{}, waiting: map[Number][]byte{}, recent: map[Number][]byte{}}
 }
 
 // State returns what is in force.
 func (s *Sequence) State() State { return s.state }
 
+// Published is a note as it was published.
+type Published struct {
+	Number Number
+	Raw    []byte
+}
+
+// Since returns the notes that lead from above to the state in force, or false if some are no longer kept.
+func (s *Sequence) Since(above Number) ([]Published, bool) {
+	var out []Published
+	for n := above + 1; n <= s.state.Number; n++ {
+		raw, ok := s.recent[n]
+		if !ok {
+			return nil, false
+		}
+		out = append(out, Published{Number: n, Raw: raw})
+	}
+	return out, true
+}
+
 // Conflicts returns the latest notes that came with other content under a number already seen, oldest first.
 func (s *Sequence) Conflicts() []Refusal { return slices.Clone(s.conflicts) }
 
@@ -110,6 +133,7 @@
 
 func (s *Sequence) apply(n Number, raw []byte) error {
 	s.note(n, DigestOf(raw))
+	s.keep(n, raw)
 	next, err := follow(s.state, n, raw)
 	if err != nil {
 		s.skip(Refusal{Number: n, Digest: DigestOf(raw), Verdict: Refused, Reason: err.Error()})
@@ -160,6 +184,14 @@
 	}
 }
 
+// keep holds a note for peers that lack it; a large one is cheaper to pass on as part of the whole state.
+func (s *Sequence) keep(n Number, raw []byte) {
+	delete(s.recent, n-min(n, MaxRecent))
+	if len(raw) <= MaxRecentBytes/MaxRecent {
+		s.recent[n] = slices.Clone(raw)
+	}
+}
+
 func (s *Sequence) note(n Number, d Digest) {
 	s.digests[n] = d
 	if len(s.digests) <= MaxDigests {
--- /dev/null
+++ b/pkg/jysubset/doc.go
@@ -0,0 +1,2 @@
+// Package jysubset decides which backend servers of a service an instance connects to, so that no server gets more connections than it takes however large the fleet is.
+package jysubset
