Work out the target size from measured slopes

docs/CAPACITY.md gives state, messages, bytes, processor time and memory of each role at 530 nodes, from benchmarks of the real decisions and codec, with the fits' errors and plots; one command regenerates it.

--- /dev/null
+++ b/internal/jycapacity/errors.go
@@ -0,0 +1,19 @@
+package jycapacity
+
+import "github.com/jackdawyard/jackdawyard/pkg/jyfault"
+
+// ErrorKind classifies the errors of this package.
+type ErrorKind string
+
+// The kinds of error.
+const (
+	Malformed ErrorKind = "Malformed"
+	Missing   ErrorKind = "Missing"
+)
+
+// Error is the error type of this package.
+type Error = jyfault.Error[ErrorKind]
+
+func newError(op string, k ErrorKind, format string, args ...any) *Error {
+	return jyfault.New(op, k, format, args...)
+}
--- /dev/null
+++ b/internal/jycapacity/page.go
@@ -0,0 +1,96 @@
+package jycapacity
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+)
+
+// neededUnits are the units without which the page cannot be worked out.
+var neededSlopes = []string{
+	"heartbeat ns/op", "heartbeat B-wire", "heartbeat B-heap", "new-connection B-wire", "everything B-wire", "ranked ns/op", "release-apply ns/op",
+	"release-apply B-heap", "release-state B-file", "report B-wire", "report ns/op", "pool ns/op", "pool B-heap", "totals ns/op", "ledger B-heap",
+	"hand-over B-wire", "limiter B-heap", "burn B-heap", "metrics B-heap", "announce B-wire", "connections B-heap", "routes ns/op", "spread s-virtual", "centre-lost s-virtual", "regions-apart s-virtual",
+}
+
+// WritePage writes the tables of docs/CAPACITY.md; its errors are of kind Missing.
+func WritePage(w io.Writer, s Slopes) error {
+	for _, name := range neededSlopes {
+		if _, ok := s[name]; !ok {
+			return newError("write capacity page", Missing, "no measurement of %q", name)
+		}
+	}
+	var b strings.Builder
+	z := Target()
+	writeRoles(&b, z, s)
+	writeChecks(&b, Checks(z, s))
+	writeData(&b, z, s)
+	writeSlopes(&b, s)
+	_, err := io.WriteString(w, b.String())
+	return err
+}
+
+func writeRoles(b *strings.Builder, z Size, s Slopes) {
+	fmt.Fprintf(b, "## Control at one instance, at the target size\n\n")
+	fmt.Fprintf(b, "%.0f nodes, %.0f targets, %.0f services, %.0f routes, %.0f accounts, %.0f requests/s.\n", z.Nodes, z.Targets, z.Services, z.Routes, z.Callers, z.Requests)
+	fmt.Fprintf(b, "Roles marked * fall to few instances; their row shows the instance with the most of them.\n\n")
+	fmt.Fprintf(b, "| Role | Mechanism | State | Messages/s | Bytes/s | Core | Memory | Formula |\n|---|---|---|---|---|---|---|---|\n")
+	var all Cost
+	for _, r := range Roles() {
+		c := r.Cost(z, s)
+		all = all.plus(c)
+		mark := ""
+		if r.IsWorst {
+			mark = " *"
+		}
+		fmt.Fprintf(b, "| %s%s | %s | %s | %.3f | %.0f | %.4f%% | %.2f MB | %s |\n",
+			r.Name, mark, r.Mechanism, r.State, c.Messages, c.Bytes, 100*c.Core, c.Memory/1e6, r.Formula)
+	}
+	fmt.Fprintf(b, "| **the instance with all of it** | | | %.2f | %.0f | %.3f%% | %.1f MB | sum |\n", all.Messages, all.Bytes, 100*all.Core, all.Memory/1e6)
+	fmt.Fprintf(b, "| **budget** | | | | %.0f | %.1f%% | %.0f MB | |\n", budgetBytes, 100*budgetCore, budgetMemory/1e6)
+	fmt.Fprintf(b, "| **margin** | | | | %s | %s | %s | |\n\n", margin(all.Bytes, budgetBytes), margin(all.Core, budgetCore), margin(all.Memory, budgetMemory))
+}
+
+// margin returns how much of a budget is left, or by how much it is overrun.
+func margin(value, budget float64) string {
+	if value > budget {
+		return fmt.Sprintf("RED, %.1f times over", value/budget)
+	}
+	return fmt.Sprintf("%.0f%% left", 100*(1-value/budget))
+}
+
+func writeChecks(b *strings.Builder, checks []Check) {
+	fmt.Fprintf(b, "## Bounds of the whole system\n\n| Bound | Value | Allowed | Margin | Formula |\n|---|---|---|---|---|\n")
+	for _, c := range checks {
+		fmt.Fprintf(b, "| %s | %.4g %s | %.4g %s | %s | %s |\n", c.Name, c.Value, c.Unit, c.Bound, c.Unit, margin(c.Value, c.Bound), c.Formula)
+	}
+	fmt.Fprintln(b)
+}
+
+// writeData writes what requests themselves take, which is no control.
+func writeData(b *strings.Builder, z Size, s Slopes) {
+	perNode := z.Requests / z.Nodes
+	open := z.Services * subset * connectionsEach
+	fmt.Fprintf(b, "## Requests at one instance, which are no control\n\n| What | At the target size | Formula |\n|---|---|---|\n")
+	fmt.Fprintf(b, "| requests | %.0f/s | requests/s / nodes |\n", perNode)
+	fmt.Fprintf(b, "| connections to targets, if all are open | %.0f, %.1f MB | services x 3 x 2 x measured bytes |\n", open, s["connections B-heap"].At(open)/1e6)
+	fmt.Fprintf(b, "| look-up of a route | %.0f ns | fit at %.0f routes |\n", s["routes ns/op"].At(z.Routes), z.Routes)
+	fmt.Fprintf(b, "| request ids relayed to their issuer, at most | %.0f/s | requests/s / nodes x 0.3, if no caller keeps its connection |\n\n", perNode*writeShare)
+}
+
+func writeSlopes(b *strings.Builder, s Slopes) {
+	fmt.Fprintf(b, "## The slopes\n\nThe error is the root mean square of the residuals as a share of the largest value. Times are of whole calls, both ends and the loopback included.\n\n")
+	fmt.Fprintf(b, "| Slope | Sizes | Base | For each unit of size | Error | Plot |\n|---|---|---|---|---|---|\n")
+	for _, key := range slices.Sorted(maps.Keys(s)) {
+		v := s[key]
+		var at []string
+		for _, p := range v.Points {
+			if text := fmt.Sprint(p.X); !slices.Contains(at, text) {
+				at = append(at, text)
+			}
+		}
+		fmt.Fprintf(b, "| %s | %s | %.4g | %.4g | %.1f%% | [plot](capacity/%s) |\n", key, strings.Join(at, ", "), v.Base, v.Gradient, 100*v.Error, PlotName(v))
+	}
+}
--- /dev/null
+++ b/internal/jycapacity/parse.go
@@ -0,0 +1,49 @@
+package jycapacity
+
+import (
+	"bufio"
+	"io"
+	"regexp"
+	"strconv"
+	"strings"
+)
+
+// Slopes holds the fitted slopes by name and unit, such as "heartbeat ns/op".
+type Slopes map[string]Slope
+
+var benchmarkLine = regexp.MustCompile(`^BenchmarkSlope/([a-z-]+)/(\d+)(?:-\d+)?\s+\d+\s+(.*)$`)
+
+// Parse reads the output of `go test -bench Slope` and fits a slope to each role and unit; repeated runs count as more points.
+func Parse(r io.Reader) (Slopes, error) {
+	points := map[string][]Point{}
+	names := map[string][2]string{}
+	lines := bufio.NewScanner(r)
+	for lines.Scan() {
+		m := benchmarkLine.FindStringSubmatch(lines.Text())
+		if m == nil {
+			continue
+		}
+		x, err := strconv.ParseFloat(m[2], 64)
+		if err != nil {
+			return nil, newError("parse benchmarks", Malformed, "%w", err)
+		}
+		fields := strings.Fields(m[3])
+		for i := 0; i+1 < len(fields); i += 2 {
+			y, err := strconv.ParseFloat(fields[i], 64)
+			if err != nil {
+				return nil, newError("parse benchmarks", Malformed, "%w", err)
+			}
+			key := m[1] + " " + fields[i+1]
+			points[key] = append(points[key], Point{X: x, Y: y})
+			names[key] = [2]string{m[1], fields[i+1]}
+		}
+	}
+	if err := lines.Err(); err != nil {
+		return nil, newError("parse benchmarks", Malformed, "%w", err)
+	}
+	out := Slopes{}
+	for key, list := range points {
+		out[key] = Fit(names[key][0], names[key][1], list)
+	}
+	return out, nil
+}
--- /dev/null
+++ b/internal/jycapacity/slope_test.go
@@ -0,0 +1,650 @@
+package jycapacity_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"runtime"
+	"slices"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/jackdawyard/jackdawyard/internal/jybackend"
+	"github.com/jackdawyard/jackdawyard/internal/jymetric"
+	"github.com/jackdawyard/jackdawyard/internal/jypeer"
+	"github.com/jackdawyard/jackdawyard/internal/jyreport"
+	"github.com/jackdawyard/jackdawyard/internal/jywire"
+	"github.com/jackdawyard/jackdawyard/internal/jywire/jywireconnect"
+	"github.com/jackdawyard/jackdawyard/pkg/jydedup"
+	"github.com/jackdawyard/jackdawyard/pkg/jydetector"
+	"github.com/jackdawyard/jackdawyard/pkg/jylimit"
+	"github.com/jackdawyard/jackdawyard/pkg/jymember"
+	"github.com/jackdawyard/jackdawyard/pkg/jynote"
+	"github.com/jackdawyard/jackdawyard/pkg/jyoutcome"
+	"github.com/jackdawyard/jackdawyard/pkg/jyroute"
+)
+
+const (
+	heapUnit = "B-heap"
+	wireUnit = "B-wire"
+	fileUnit = "B-file"
+)
+
+var (
+	nodeSizes    = []int{15, 60, 240, 530}
+	targetSizes  = []int{29, 440, 4400}
+	serviceSizes = []int{3, 30, 270}
+	kept         any // what heap measurements hold on to
+)
+
+// heapOf returns how many bytes stay in use after build, which runs once outside the timing.
+func heapOf(build func() any) float64 {
+	kept = nil
+	before := heapInUse()
+	kept = build()
+	after := heapInUse()
+	return max(0, float64(after)-float64(before))
+}
+
+func heapInUse() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+func sizes(b *testing.B, list []int, run func(b *testing.B, n int)) {
+	for _, n := range list {
+		b.Run(strconv.Itoa(n), func(b *testing.B) { run(b, n) })
+	}
+}
+
+func BenchmarkSlope(b *testing.B) {
+	benchmarks := map[string]struct {
+		sizes []int
+		run   func(b *testing.B, n int)
+	}{
+		"heartbeat":      {nodeSizes, heartbeat},
+		"everything":     {nodeSizes, everything},
+		"ranked":         {nodeSizes, ranked},
+		"release-apply":  {targetSizes, releaseApply},
+		"release-state":  {targetSizes, releaseState},
+		"report":         {[]int{1, 4, 16, 64}, report},
+		"pool":           {nodeSizes, pool},
+		"totals":         {serviceSizes, totals},
+		"ledger":         {[]int{1000, 5000, 20000}, ledger},
+		"hand-over":      {[]int{1, 10, 100}, handOver},
+		"limiter":        {[]int{1000, 9000, 27000}, limiter},
+		"routes":         {[]int{20, 200, 1300}, routes},
+		"burn":           {serviceSizes, burn},
+		"metrics":        {serviceSizes, metrics},
+		"connections":    {[]int{10, 100, 400}, connections},
+		"announce":       {[]int{1}, announce},
+		"new-connection": {[]int{1}, newConnection},
+		"spread":         {nodeSizes, spread},
+	}
+	for _, name := range slices.Sorted(maps.Keys(benchmarks)) {
+		v := benchmarks[name]
+		b.Run(name, func(b *testing.B) { sizes(b, v.sizes, v.run) })
+	}
+}
+
+func member(i int) jymember.Member {
+	return jymember.Member{
+		Name: jymember.Name(fmt.Sprintf("entry-%03d", i)), Boot: jymember.Boot(1796352455905 + i), Incarnation: 1,
+		Address: fmt.Sprintf("10.1.%d.%d:9080", i/250, i%250), DataCentre: fmt.Sprint("centre-", i%6), Region: fmt.Sprint("region-", i%2),
+	}
+}
+
+func table(self, nodes int) *jymember.Table {
+	t := jymember.NewTable(jymember.Config{
+		SuspectTime: 3 * time.Second, DeadMemory: time.Minute, SuccessionMemory: time.Hour, Helpers: 3, UpdatesPerCall: 40,
+	}, member(self))
+	var all []jymember.Update
+	for i := range nodes {
+		if i != self {
+			m := member(i)
+			all = append(all, jymember.Update{Member: &m})
+		}
+	}
+	t.MergeEverything(time.Now(), all)
+	for range 100 {
+		t.Updates()
+	}
+	return t
+}
+
+// peers answers calls like an instance, and counts the bytes that pass.
+type peers struct {
+	jywireconnect.UnimplementedPeerServiceHandler
+	table *jymember.Table
+}
+
+// Heartbeat answers as jyfleet does.
+func (p *peers) Heartbeat(_ context.Context, r *connect.Request[jywire.HeartbeatRequest]) (*connect.Response[jywire.HeartbeatResponse], error) {
+	now := time.Now()
+	p.table.Merge(now, jypeer.UpdatesFromWire(r.Msg.GetUpdates()))
+	p.table.Answered(now, jypeer.MemberFromWire(r.Msg.GetSender()))
+	return connect.NewResponse(&jywire.HeartbeatResponse{
+		Sender: jypeer.MemberToWire(p.table.Self()), Updates: jypeer.UpdatesToWire(p.table.Updates()),
+		Note: jypeer.MarkToWire(jypeer.Mark{Number: 790}),
+	}), nil
+}
+
+// Report takes a report and answers with one verdict.
+func (p *peers) Report(context.Context, *connect.Request[jywire.ReportRequest]) (*connect.Response[jywire.ReportResponse], error) {
+	verdicts := jypeer.VerdictsToWire(time.Now(), []jydetector.Verdict{{Server: "service-100-server-10", Phase: jydetector.Ejected, Until: time.Now().Add(time.Minute)}})
+	return connect.NewResponse(&jywire.ReportResponse{Services: []*jywire.ServiceVerdicts{{Service: "service-100", Verdicts: verdicts}}}), nil
+}
+
+// Announce takes an announcement.
+func (p *peers) Announce(context.Context, *connect.Request[jywire.AnnounceRequest]) (*connect.Response[jywire.AnnounceResponse], error) {
+	return connect.NewResponse(&jywire.AnnounceResponse{}), nil
+}
+
+// countingListener counts the bytes of all its connections, in both directions.
+type countingListener struct {
+	net.Listener
+	bytes *atomic.Int64
+}
+
+// Accept returns a connection that counts.
+func (l countingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return countingConn{c, l.bytes}, err
+}
+
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+// Read counts what comes.
+func (c countingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// Write counts what goes.
+func (c countingConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// call measures calls between two instances over the real codec and transport, bytes with framing.
+func call(b *testing.B, nodes int, fresh bool, f func(ctx context.Context, c jywireconnect.PeerServiceClient) error) {
+	var bytes atomic.Int64
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(b, err)
+	path, handler := jywireconnect.NewPeerServiceHandler(&peers{table: table(1, nodes)})
+	mux := http.NewServeMux()
+	mux.Handle(path, handler)
+	protocols := &http.Protocols{}
+	protocols.SetUnencryptedHTTP2(true)
+	server := &http.Server{Handler: mux, Protocols: protocols}
+	go func() { _ = server.Serve(countingListener{listener, &bytes}) }()
+	defer func() { _ = server.Close() }()
+	client := jypeer.NewClients(jypeer.Credentials{}).At(listener.Addr().String())
+	require.NoError(b, f(b.Context(), client))
+	bytes.Store(0)
+	calls := 0
+	for b.Loop() {
+		if fresh {
+			client = jypeer.NewClients(jypeer.Credentials{}).At(listener.Addr().String())
+		}
+		if err := f(b.Context(), client); err != nil {
+			b.Fatal(err)
+		}
+		calls++
+	}
+	b.ReportMetric(float64(bytes.Load())/float64(calls), wireUnit)
+}
+
+// heartbeat measures an exchange in a quiet fleet, in which one member is news at any time.
+func heartbeat(b *testing.B, nodes int) {
+	defer b.ReportMetric(heapOf(func() any { return table(0, nodes) }), heapUnit)
+	t := table(0, nodes)
+	news := member(2)
+	call(b, nodes, false, func(ctx context.Context, c jywireconnect.PeerServiceClient) error {
+		news.Incarnation++
+		m := news
+		t.Merge(time.Now(), []jymember.Update{{Member: &m}})
+		t.NextProbe(rand.Shuffle)
+		t.Expire(time.Now())
+		r, err := c.Heartbeat(ctx, connect.NewRequest(&jywire.HeartbeatRequest{
+			Sender: jypeer.MemberToWire(t.Self()), Updates: jypeer.UpdatesToWire(t.Updates()), Note: jypeer.MarkToWire(jypeer.Mark{Number: 790}),
+		}))
+		if err != nil {
+			return err
+		}
+		t.Merge(time.Now(), jypeer.UpdatesFromWire(r.Msg.GetUpdates()))
+		t.Answered(time.Now(), jypeer.MemberFromWire(r.Msg.GetSender()))
+		return nil
+	})
+}
+
+// everything measures the answer to a first heartbeat.
+func everything(b *testing.B, nodes int) {
+	t := table(0, nodes)
+	size := 0
+	for b.Loop() {
+		raw, err := proto.Marshal(&jywire.HeartbeatResponse{Updates: jypeer.UpdatesToWire(t.Everything())})
+		require.NoError(b, err)
+		size = len(raw)
+	}
+	b.ReportMetric(float64(size), wireUnit)
+}
+
+// ranked measures the election of a duty's holder.
+func ranked(b *testing.B, nodes int) {
+	t := table(0, nodes)
+	for b.Loop() {
+		t.Working()
+	}
+}
+
+func state(targets int) jynote.State {
+	const perService = 16
+	s := jynote.State{Number: 1}
+	for i := range max(1, targets/perService) {
+		s.Services = append(s.Services, jynote.Service{
+			Name: jynote.ServiceName(fmt.Sprintf("service-%03d", i)), Floor: 30, DeadlineMilliseconds: 3000, ServerDaysPerFalseEjection: 1000,
+			MaxBodyBytes: 1 << 20, Objective: jynote.Objective{SuccessShare: 0.999, LatencyMilliseconds: 400},
+			NotRunMarks: []jynote.Mark{{Header: "Backend-Not-Run", Value: "true"}}, DrainMark: jynote.Mark{Header: "Backend-Draining", Value: "true"},
+		})
+	}
+	for i := range targets {
+		s.BackendServers = append(s.BackendServers, jynote.BackendServer{
+			Name: jynote.ServerName(fmt.Sprintf("server-%04d", i)), Service: s.Services[i%len(s.Services)].Name, Slots: 4, Connections: 300,
+			Address: fmt.Sprintf("10.2.%d.%d:8080", i/250, i%250), DataCentre: jynote.DataCentreName(fmt.Sprint("centre-", i%6)),
+		})
+	}
+	for i := range max(1, targets*1300/4400) {
+		s.Routes = append(s.Routes, jynote.Route{
+			Name: jynote.RouteName(fmt.Sprintf("route-%04d", i)), PathPrefix: fmt.Sprintf("/area-%d/part-%d", i%40, i), Service: s.Services[i%len(s.Services)].Name,
+		})
+	}
+	return s
+}
+
+func directory(instances int) *jybackend.Directory {
+	return jybackend.NewDirectory(jybackend.Config{
+		Instance: "entry-000", Instances: func() int { return instances }, IsNear: func(jynote.DataCentreName) bool { return true },
+	})
+}
+
+// releaseApply measures one changed server coming into force, and the memory of what is in force.
+func releaseApply(b *testing.B, targets int) {
+	defer b.ReportMetric(heapOf(func() any {
+		d := directory(530)
+		d.Apply(state(targets))
+		return d
+	}), heapUnit)
+	d := directory(530)
+	s := state(targets)
+	d.Apply(s)
+	for b.Loop() {
+		changed := s.BackendServers[0]
+		changed.Slots = 2 + int(s.Number%2)
+		note := jynote.Note{Number: s.Number + 1}
+		note.Changed.BackendServers = []jynote.BackendServer{changed}
+		next, faults := jynote.Apply(s, note, []byte("published"))
+		require.Empty(b, faults)
+		s = next
+		d.Apply(s)
+	}
+}
+
+// releaseState measures the whole state as it travels, and as a base note.
+func releaseState(b *testing.B, targets int) {
+	s := state(targets)
+	size := 0
+	for b.Loop() {
+		raw, err := s.Encode()
+		require.NoError(b, err)
+		size = len(raw)
+	}
+	b.ReportMetric(float64(size), wireUnit)
+	note := jynote.Note{Number: 1, Base: true}
+	note.Added = jynote.Entries{Services: s.Services, BackendServers: s.BackendServers, Routes: s.Routes}
+	raw, err := json.Marshal(note)
+	require.NoError(b, err)
+	b.ReportMetric(float64(len(raw)), fileUnit)
+}
+
+func reportOf(reporter, servers int, n uint64) *jywire.ReportRequest {
+	r := &jywire.ServiceReport{Service: "service-100"}
+	for i := range servers {
+		r.Totals = append(r.Totals, jypeer.TotalsToWire(jydetector.Totals{
+			Server: jydetector.ServerName(fmt.Sprintf("service-100-server-%02d", i)),
+			Base:   jydetector.Counts{Attempts: 100000 + n, Failures: 100, Slow: 1000}, Now: jydetector.Counts{Attempts: 100020 + n, Failures: 100, Slow: 1001},
+		}))
+	}
+	return &jywire.ReportRequest{Reporter: fmt.Sprintf("entry-%03d", reporter), Boot: 1796352455905, DataCentre: fmt.Sprint("centre-", reporter%6), Services: []*jywire.ServiceReport{r}}
+}
+
+// report measures a report on a number of servers, and its answer.
+func report(b *testing.B, servers int) {
+	n := uint64(0)
+	call(b, 15, false, func(ctx context.Context, c jywireconnect.PeerServiceClient) error {
+		n += 20
+		_, err := c.Report(ctx, connect.NewRequest(reportOf(1, servers, n)))
+		return err
+	})
+}
+
+// pool measures the detector of one service of 16 servers to which a number of nodes report, three servers each.
+func pool(b *testing.B, nodes int) {
+	const servers, each = 16, 3
+	counts := map[int]jydetector.Counts{}
+	now := time.Now()
+	build := func() *jydetector.Detector {
+		d := jydetector.New(jydetector.Config{ServerDaysPerFalseEjection: 1000, FloorSlots: 10})
+		var list []jydetector.Server
+		for i := range servers {
+			list = append(list, jydetector.Server{Name: jydetector.ServerName(fmt.Sprintf("server-%02d", i)), Slots: 4})
+		}
+		d.SetServers(now, list)
+		return d
+	}
+	observe := func(d *jydetector.Detector, i int) {
+		node := i % nodes
+		now = now.Add(time.Millisecond)
+		base := counts[node]
+		next := jydetector.Counts{Attempts: base.Attempts + 10, Slow: base.Slow + uint64(i%2)}
+		counts[node] = next
+		r := jydetector.Report{Reporter: jydetector.ReporterName(fmt.Sprintf("entry-%03d", node)), Group: jydetector.GroupName(fmt.Sprint("centre-", node%6)), Boot: 1}
+		for k := range each {
+			r.Totals = append(r.Totals, jydetector.Totals{Server: jydetector.ServerName(fmt.Sprintf("server-%02d", (node+k*5)%servers)), Base: base, Now: next})
+		}
+		d.Observe(now, r)
+	}
+	defer b.ReportMetric(heapOf(func() any {
+		d := build()
+		for i := range nodes * 4 {
+			observe(d, i)
+		}
+		return d
+	}), heapUnit)
+	clear(counts)
+	d := build()
+	i := 0
+	for b.Loop() {
+		observe(d, i)
+		i++
+	}
+}
+
+// totals measures a look at the counts of all services, as a quiet report takes.
+func totals(b *testing.B, services int) {
+	d := directory(530)
+	d.Apply(state(services * 16))
+	for b.Loop() {
+		for _, v := range d.Snapshot().Services() {
+			for _, s := range v.Servers {
+				if s.Counts().Attempts > 0 {
+					b.Fatal("no request was sent")
+				}
+			}
+		}
+	}
+}
+
+func newLedger(records int) (*jydedup.Ledger, time.Time) {
+	now := time.Now()
+	return jydedup.NewLedger(jydedup.Config{
+		Self: jydedup.Issuer{Instance: "entry-001", Boot: 1796352455905}, Secret: []byte("secret"), Boot: now,
+		Lifetime: 5 * time.Minute, Retention: 5 * time.Minute, MaxRecords: records + 1<<30, MaxReplayBytes: 1 << 16, MaxKeptBytes: 1 << 24,
+	}), now
+}
+
+const answerBytes = 500
+
+func useID(l *jydedup.Ledger, now time.Time) {
+	id := l.Issue(now, "0123456789abcdef0123456789abcdef")
+	l.Begin(now, id, "0123456789abcdef0123456789abcdef", jydedup.Fingerprint{1})
+	_ = l.Finish(id, jydedup.Result{Outcome: jyoutcome.Complete, Answer: &jydedup.Answer{
+		Status: 200, Header: map[string][]string{"Content-Type": {"application/json"}, "Date": {"Fri, 04 Dec 2026 02:00:00 GMT"}}, Body: make([]byte, answerBytes),
+	}})
+}
+
+// ledger measures the whole life of a request id, and the memory of those that are remembered.
+func ledger(b *testing.B, records int) {
+	defer b.ReportMetric(heapOf(func() any {
+		l, now := newLedger(records)
+		for range records {
+			useID(l, now)
+		}
+		return l
+	}), heapUnit)
+	l, now := newLedger(records)
+	gap := 10 * time.Minute / time.Duration(records)
+	for b.Loop() {
+		now = now.Add(gap)
+		useID(l, now)
+	}
+}
+
+// handOver measures the message that carries a number of records to a successor.
+func handOver(b *testing.B, records int) {
+	l, now := newLedger(records)
+	for range records {
+		useID(l, now)
+	}
+	l.Seal()
+	list, err := l.Export(now)
+	require.NoError(b, err)
+	size := 0
+	for b.Loop() {
+		raw, err := proto.Marshal(jypeer.HandOverToWire(list[0], 0, 1))
+		require.NoError(b, err)
+		size = len(raw)
+	}
+	b.ReportMetric(float64(size), wireUnit)
+}
+
+// limiter measures the admission of callers, and the memory of those that are remembered.
+func limiter(b *testing.B, callers int) {
+	names := make([]string, callers)
+	for i := range names {
+		names[i] = fmt.Sprintf("%032x", i)
+	}
+	build := func() *jylimit.Limiter {
+		l := jylimit.New(jylimit.Config{Rate: 100, Burst: 100, Concurrency: 10, MaxCallers: callers})
+		for _, n := range names {
+			l.Begin(time.Now(), n)
+			l.End(n)
+		}
+		return l
+	}
+	defer b.ReportMetric(heapOf(func() any { return build() }), heapUnit)
+	l := build()
+	i := 0
+	now := time.Now()
+	for b.Loop() {
+		i++
+		now = now.Add(time.Millisecond)
+		l.Begin(now, names[i%callers])
+		l.End(names[i%callers])
+	}
+}
+
+// routes measures the look-up of a request's route.
+func routes(b *testing.B, n int) {
+	s := state(n * 4400 / 1300)
+	defer b.ReportMetric(heapOf(func() any { return jyroute.NewTable(s) }), heapUnit)
+	t := jyroute.NewTable(s)
+	i := 0
+	for b.Loop() {
+		i++
+		r := s.Routes[i%len(s.Routes)]
+		if _, ok := t.Find("GET", r.PathPrefix+"/item/7"); !ok {
+			b.Fatal("not found")
+		}
+	}
+}
+
+// burn measures the counting of one request's outcome, and the memory of the counts.
+func burn(b *testing.B, services int) {
+	d := directory(530)
+	d.Apply(state(services * 16))
+	m := jymetric.New()
+	defer func() { _ = m.Close() }()
+	names := d.Snapshot().State.Services
+	defer b.ReportMetric(heapOf(func() any {
+		r := jyreport.NewBurn(d, m)
+		for _, s := range names {
+			r.Record(s.Name, jyoutcome.Complete, 200, time.Millisecond)
+		}
+		return r
+	}), heapUnit)
+	r := jyreport.NewBurn(d, m)
+	i := 0
+	for b.Loop() {
+		i++
+		r.Record(names[i%len(names)].Name, jyoutcome.Complete, 200, time.Millisecond)
+	}
+}
+
+// metrics measures one flush of all metrics, and their memory.
+func metrics(b *testing.B, services int) {
+	defer b.ReportMetric(heapOf(func() any {
+		m := jymetric.New()
+		for i := range services {
+			for _, o := range []jyoutcome.Outcome{jyoutcome.Complete, jyoutcome.NotRun, jyoutcome.Unknown} {
+				m.Request(jynote.ServiceName(fmt.Sprint("service-", i)), o, time.Millisecond)
+			}
+		}
+		time.Sleep(2 * time.Second)
+		return m
+	}), heapUnit)
+	for b.Loop() {
+		runtime.KeepAlive(kept)
+	}
+	_ = kept.(*jymetric.Metrics).Close()
+}
+
+// connections measures the memory of open connections to backend servers.
+func connections(b *testing.B, n int) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(b, err)
+	defer func() { _ = listener.Close() }()
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			defer func() { _ = c.Close() }()
+		}
+	}()
+	p := jybackend.NewPool(jybackend.PoolConfig{Address: listener.Addr().String(), ConnectTimeout: time.Second, MaxIdle: time.Minute})
+	p.SetMost(n)
+	defer p.Close()
+	defer b.ReportMetric(heapOf(func() any {
+		list := make([]*jybackend.Connection, 0, n)
+		for range n {
+			c, err := p.Open(b.Context(), time.Now())
+			require.NoError(b, err)
+			list = append(list, c)
+		}
+		return list
+	}), heapUnit)
+	for b.Loop() {
+		runtime.KeepAlive(kept)
+	}
+	for _, c := range kept.([]*jybackend.Connection) {
+		p.Put(c, time.Now())
+	}
+}
+
+// announce measures one announcement of a note.
+func announce(b *testing.B, _ int) {
+	call(b, 15, false, func(ctx context.Context, c jywireconnect.PeerServiceClient) error {
+		_, err := c.Announce(ctx, connect.NewRequest(&jywire.AnnounceRequest{SenderAddress: "10.1.1.1:9080", Note: jypeer.MarkToWire(jypeer.Mark{Number: 790})}))
+		return err
+	})
+}
+
+// newConnection measures a call that has to open its connection first.
+func newConnection(b *testing.B, _ int) {
+	call(b, 15, true, func(ctx context.Context, c jywireconnect.PeerServiceClient) error {
+		_, err := c.Announce(ctx, connect.NewRequest(&jywire.AnnounceRequest{SenderAddress: "10.1.1.1:9080", Note: jypeer.MarkToWire(jypeer.Mark{Number: 790})}))
+		return err
+	})
+}
+
+// spread measures, in virtual time, how long a note takes from the watchers to the last of a number of nodes: each that
+// has it tells ten others, each of which fetches it, and one heartbeat a second makes up for whom nobody told.
+func spread(b *testing.B, nodes int) {
+	const (
+		trials   = 20
+		fanOut   = 10
+		hop      = 0.020 // announcement, fetch and coming into force, in seconds
+		interval = 1.0
+	)
+	slowest, sum := 0.0, 0.0
+	for trial := range uint64(trials) {
+		took := spreadOnce(rand.New(rand.NewPCG(trial, 7)), nodes, fanOut, hop, interval)
+		slowest = max(slowest, took)
+		sum += took
+	}
+	for b.Loop() {
+		runtime.KeepAlive(slowest)
+	}
+	b.ReportMetric(slowest, "s-virtual")
+	b.ReportMetric(sum/trials, "s-mean")
+}
+
+// spreadOnce returns when the last node has the note.
+func spreadOnce(random *rand.Rand, nodes, fanOut int, hop, interval float64) float64 {
+	const never = 1e9
+	has := make([]float64, nodes)
+	var queue []int
+	for i := range has {
+		has[i] = never
+		if i < 12 {
+			has[i] = 0
+			queue = append(queue, i)
+		}
+	}
+	tell := func(at float64, to int) {
+		if has[to] > at {
+			has[to] = at
+			queue = append(queue, to)
+		}
+	}
+	for step := 0.0; slices.Max(has) == never; step += interval / 50 {
+		for len(queue) > 0 && has[queue[0]] <= step {
+			from := queue[0]
+			queue = queue[1:]
+			for range fanOut {
+				tell(has[from]+hop, random.IntN(nodes))
+			}
+		}
+		for i := range has {
+			if random.Float64() > 1.0/50 {
+				continue
+			}
+			if peer := random.IntN(nodes); has[i] <= step {
+				tell(step+hop, peer)
+			} else if has[peer] <= step {
+				tell(step+hop, i)
+			}
+		}
+	}
+	return slices.Max(has)
+}
--- /dev/null
+++ b/internal/jycommand/capacity.go
@@ -0,0 +1,76 @@
+package jycommand
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/jackdawyard/jackdawyard/internal/jycapacity"
+)
+
+// generatedMark separates what people write on the page from what this command writes.
+const generatedMark = "<!-- Generated below: see the command at the top. -->\n"
+
+func capacityCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "capacity",
+		Usage: "work out the cost at the target size from `go test ./internal/jycapacity -run xxx -bench Slope` on standard input",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "page", Usage: "`FILE` whose generated part is replaced"},
+			&cli.StringFlag{Name: "plots", Usage: "`FOLDER` for one plot of each slope"},
+		},
+		Action: func(_ context.Context, c *cli.Command) error {
+			slopes, err := jycapacity.Parse(os.Stdin)
+			if err != nil {
+				return err
+			}
+			var page bytes.Buffer
+			if err := jycapacity.WritePage(&page, slopes); err != nil {
+				return err
+			}
+			if folder := c.String("plots"); folder != "" {
+				if err := writePlots(folder, slopes); err != nil {
+					return err
+				}
+			}
+			if file := c.String("page"); file != "" {
+				return replaceGenerated(file, page.String())
+			}
+			fmt.Fprint(c.Root().Writer, page.String())
+			return nil
+		},
+	}
+}
+
+func writePlots(folder string, slopes jycapacity.Slopes) error {
+	if err := os.MkdirAll(folder, 0o755); err != nil {
+		return err
+	}
+	for _, s := range slopes {
+		var plot bytes.Buffer
+		if err := jycapacity.WritePlot(&plot, s); err != nil {
+			return err
+		}
+		if err := os.WriteFile(filepath.Join(folder, jycapacity.PlotName(s)), plot.Bytes(), 0o644); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func replaceGenerated(file, text string) error {
+	old, err := os.ReadFile(file)
+	if err != nil {
+		return err
+	}
+	written, _, found := strings.Cut(string(old), generatedMark)
+	if !found {
+		return fmt.Errorf("%s has no line %q", file, strings.TrimSpace(generatedMark))
+	}
+	return os.WriteFile(file, []byte(written+generatedMark+"\n"+text), 0o644)
+}
--- a/internal/jycommand/experiment.go
+++ b/internal/jycommand/experiment.go
@@ -27,6 +27,7 @@
 					})
 				},
 			},
+			capacityCommand(),
 		},
 	}
 }
--- a/internal/jycommand/serve.go
+++ b/internal/jycommand/serve.go
@@ -30,6 +30,7 @@
 				return fmt.Errorf("%d faults in %s; the first is %s", len(faults), c.String("settings"), faults[0])
 			}
 			debug.SetGCPercent(garbagePercent)
+			debug.SetMemoryLimit(settings.MemoryLimit)
 			node, err := jynode.New(settings)
 			if err != nil {
 				return err
--- a/internal/jyevidence/evidence.go
+++ b/internal/jyevidence/evidence.go
@@ -68,7 +68,7 @@
 	// pooledBy is the number of instances that a service's reports may go to: the first that answers takes them.
 	pooledBy = 2
 	// quietMessages bounds the messages without urgency in one interval; the services take turns in them.
-	quietMessages = 4
+	quietMessages = 2
 )
 
 // Run reports until ctx ends.
--- a/internal/jyfleet/fleet.go
+++ b/internal/jyfleet/fleet.go
@@ -34,7 +34,7 @@
 	suspectIntervals = 3
 	deadMemory       = time.Minute
 	helpers          = 3
-	updatesPerCall   = 12
+	updatesPerCall   = 40
 	// pauseFactor is how many intervals late a tick must be to count as a pause of the process.
 	pauseFactor = 3
 	// askEverything is the number of first heartbeats that ask for all that the peer knows.
@@ -97,7 +97,7 @@
 		return
 	}
 	go func() {
-		if f.beat(ctx, p.Target.Address) || f.beatVia(ctx, p) {
+		if f.beat(ctx, p.Target) || f.beatVia(ctx, p) {
 			return
 		}
 		f.mu.Lock()
@@ -107,16 +107,16 @@
 }
 
 // beat sends one heartbeat and reports whether it was answered.
-func (f *Fleet) beat(ctx context.Context, address string) bool {
+func (f *Fleet) beat(ctx context.Context, to jymember.Member) bool {
 	ctx, cancel := context.WithTimeout(ctx, f.config.Timeout)
 	defer cancel()
-	return f.exchange(ctx, address) != nil
+	return f.exchange(ctx, to) != nil
 }
 
 // exchange sends a heartbeat, learns from its answer, and returns the member that answered, or nil.
-func (f *Fleet) exchange(ctx context.Context, address string) *jywire.Member {
-	request := f.request()
-	r, err := f.config.Clients.At(address).Heartbeat(ctx, connect.NewRequest(request))
+func (f *Fleet) exchange(ctx context.Context, to jymember.Member) *jywire.Member {
+	request := f.request(to.Name)
+	r, err := f.config.Clients.At(to.Address).Heartbeat(ctx, connect.NewRequest(request))
 	if err != nil {
 		return nil
 	}
@@ -124,13 +124,13 @@
 	return r.Msg.GetSender()
 }
 
-func (f *Fleet) request() *jywire.HeartbeatRequest {
+func (f *Fleet) request(to jymember.Name) *jywire.HeartbeatRequest {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.asked++
 	return &jywire.HeartbeatRequest{
 		Sender:          jypeer.MemberToWire(f.table.Self()),
-		Updates:         jypeer.UpdatesToWire(f.table.Updates()),
+		Updates:         jypeer.UpdatesToWire(f.table.UpdatesFor(to)),
 		Note:            jypeer.MarkToWire(f.config.Mark()),
 		WantsEverything: f.asked <= askEverything,
 	}
@@ -157,7 +157,7 @@
 	answers := make(chan *jywire.Member, len(p.Helpers))
 	for _, h := range p.Helpers {
 		go func() {
-			r, err := f.config.Clients.At(h.Address).HeartbeatVia(ctx, connect.NewRequest(&jywire.HeartbeatViaRequest{TargetAddress: p.Target.Address}))
+			r, err := f.config.Clients.At(h.Address).HeartbeatVia(ctx, connect.NewRequest(&jywire.HeartbeatViaRequest{Target: jypeer.MemberToWire(p.Target)}))
 			if err != nil {
 				answers <- nil
 				return
@@ -181,13 +181,13 @@
 	f.learn(r.Msg.GetSender(), r.Msg.GetUpdates(), r.Msg.GetNote(), true)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	updates := f.table.Updates
+	updates := f.table.UpdatesFor(jymember.Name(r.Msg.GetSender().GetName()))
 	if r.Msg.GetWantsEverything() {
-		updates = f.table.Everything
+		updates = f.table.Everything()
 	}
 	return connect.NewResponse(&jywire.HeartbeatResponse{
 		Sender:  jypeer.MemberToWire(f.table.Self()),
-		Updates: jypeer.UpdatesToWire(updates()),
+		Updates: jypeer.UpdatesToWire(updates),
 		Note:    jypeer.MarkToWire(f.config.Mark()),
 	}), nil
 }
@@ -196,7 +196,7 @@
 func (f *Fleet) HeartbeatVia(ctx context.Context, r *connect.Request[jywire.HeartbeatViaRequest]) (*connect.Response[jywire.HeartbeatViaResponse], error) {
 	ctx, cancel := context.WithTimeout(ctx, f.config.Timeout)
 	defer cancel()
-	target := f.exchange(ctx, r.Msg.GetTargetAddress())
+	target := f.exchange(ctx, jypeer.MemberFromWire(r.Msg.GetTarget()))
 	if target == nil {
 		return nil, connect.NewError(connect.CodeUnavailable, errNoAnswer)
 	}
@@ -219,6 +219,13 @@
 	return f.table.Working()
 }
 
+// WorkingCount returns the number of instances that Working returns.
+func (f *Fleet) WorkingCount() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.table.WorkingCount()
+}
+
 // Members returns all other instances that are known, sorted by name.
 func (f *Fleet) Members() []jymember.Member {
 	f.mu.Lock()
@@ -288,7 +295,7 @@
 	f.table.Leave(time.Now(), successor)
 	f.mu.Unlock()
 	for _, m := range f.Others(farewells) {
-		f.beat(ctx, m.Address)
+		f.beat(ctx, m)
 	}
 }
 
--- a/internal/jynode/node.go
+++ b/internal/jynode/node.go
@@ -187,7 +187,7 @@
 }
 
 // countInstances returns the instances that share the backend servers.
-func (n *Node) countInstances() int { return len(n.fleet.Working()) }
+func (n *Node) countInstances() int { return n.fleet.WorkingCount() }
 
 // isNear reports whether a data centre is in this instance's region; one of which no instance is known counts as near.
 func (n *Node) isNear(centre jynote.DataCentreName) bool {
--- a/internal/jyrelease/release.go
+++ b/internal/jyrelease/release.go
@@ -49,7 +49,7 @@
 
 const (
 	// announceTo is the number of peers that are told at once; the others hear from those.
-	announceTo  = 6
+	announceTo  = 10
 	firstDelay  = 50 * time.Millisecond
 	electionTry = time.Second
 )
--- a/internal/jysettings/keys.go
+++ b/internal/jysettings/keys.go
@@ -22,6 +22,8 @@
 		{Section: sectionInstance, Name: "OperatorAddress", Allowed: "an IP number and a port", Meaning: "Where operators and the balancer's checks reach the instance.", set: address(func(s *Settings) *string { return &s.OperatorAddress })},
 		{Section: sectionInstance, Name: "BalancerNotice", Unit: "time", Default: "2s", Allowed: "0s to 1m", Meaning: "How long a leaving instance still takes new requests, so that the balancer can notice.", set: duration(0, time.Minute, func(s *Settings) *time.Duration { return &s.BalancerNotice })},
 
+		{Section: sectionInstance, Name: "MemoryLimit", Unit: "bytes", Default: "134217728", Allowed: "33554432 to 1099511627776", Meaning: "Heap above which the collector works harder; no hard bound.", set: whole(int64(1<<25), 1<<40, func(s *Settings) *int64 { return &s.MemoryLimit })},
+
 		{Section: sectionPlatform, Name: "ConfigurationAddress", Allowed: "an http or https address", Meaning: "The platform's configuration service and instance list.", set: link(func(s *Settings) *string { return &s.ConfigurationAddress })},
 		{Section: sectionPlatform, Name: "WatchWait", Unit: "time", Default: "20s", Allowed: "1s to 5m", Meaning: "How long one watch call waits for a change.", set: duration(time.Second, 5*time.Minute, func(s *Settings) *time.Duration { return &s.WatchWait })},
 		{Section: sectionPlatform, Name: "PollInterval", Unit: "time", Default: "5s", Allowed: "1s to 5m", Meaning: "How often the instance list is read, and the service tried again after a failure.", set: duration(time.Second, 5*time.Minute, func(s *Settings) *time.Duration { return &s.PollInterval })},
--- a/internal/jysettings/settings.go
+++ b/internal/jysettings/settings.go
@@ -10,6 +10,7 @@
 	CallerAddress   string
 	PeerAddress     string
 	OperatorAddress string
+	MemoryLimit     int64
 
 	ConfigurationAddress string
 	WatchWait            time.Duration
--- a/pkg/jymember/gossip.go
+++ b/pkg/jymember/gossip.go
@@ -36,12 +36,23 @@
 	return out
 }
 
+// UpdatesFor returns the news to send with a call to a member; if it is not held alive, it is told so and can refute.
+func (t *Table) UpdatesFor(to Name) []Update {
+	out := t.Updates()
+	e := t.entries[to]
+	if e == nil || (e.Status != Suspect && e.Status != Dead) {
+		return out
+	}
+	m := e.Member
+	return append(out, Update{Member: &m})
+}
+
 // Everything returns all that is known, for a member that has just started.
 func (t *Table) Everything() []Update {
 	out := make([]Update, 0, len(t.entries)+len(t.successions)+1)
 	self := t.self
 	out = append(out, Update{Member: &self})
-	for _, n := range t.names() {
+	for _, n := range t.order {
 		m := t.entries[n].Member
 		out = append(out, Update{Member: &m})
 	}
--- a/pkg/jymember/table.go
+++ b/pkg/jymember/table.go
@@ -1,7 +1,6 @@
 package jymember
 
 import (
-	"cmp"
 	"slices"
 	"time"
 )
@@ -11,6 +10,7 @@
 	config      Config
 	self        Member
 	entries     map[Name]*entry // without self
+	order       []Name          // of the entries, sorted
 	ring        []Name          // whom to send heartbeats to, in turn
 	rumours     []rumour
 	successions map[Run]succession
@@ -47,14 +47,15 @@
 			continue
 		}
 		m := Member{Name: s.Name, Address: s.Address, DataCentre: s.DataCentre, Region: s.Region}
-		t.entries[s.Name] = &entry{Member: m, since: now}
+		t.add(s.Name, &entry{Member: m, since: now})
 		events = append(events, Event{Member: m, New: true})
 	}
-	for name, e := range t.entries {
+	for _, name := range slices.Clone(t.order) {
+		e := t.entries[name]
 		e.listed = listed[name]
 		gone := e.Status == Dead || e.Status == Left
 		if gone && !e.listed && now.Sub(e.since) > t.config.DeadMemory {
-			delete(t.entries, name)
+			t.remove(name)
 		}
 	}
 	t.forgetSuccessions(now)
@@ -64,7 +65,7 @@
 // Members returns all other instances, sorted by name.
 func (t *Table) Members() []Member {
 	out := make([]Member, 0, len(t.entries))
-	for _, n := range t.names() {
+	for _, n := range t.order {
 		out = append(out, t.entries[n].Member)
 	}
 	return out
@@ -83,23 +84,45 @@
 
 // Working returns the instances that are alive or only suspected, this one included, sorted by name.
 func (t *Table) Working() []Member {
-	out := []Member{t.self}
-	for _, e := range t.entries {
-		if e.Status == Alive || e.Status == Suspect {
+	out := make([]Member, 0, len(t.order)+1)
+	isIn := false
+	for _, n := range t.order {
+		if !isIn && n > t.self.Name {
+			out, isIn = append(out, t.self), true
+		}
+		if e := t.entries[n]; e.Status == Alive || e.Status == Suspect {
 			out = append(out, e.Member)
 		}
 	}
-	slices.SortFunc(out, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
+	if !isIn {
+		out = append(out, t.self)
+	}
 	return out
 }
 
-func (t *Table) names() []Name {
-	names := make([]Name, 0, len(t.entries))
-	for n := range t.entries {
-		names = append(names, n)
+// WorkingCount returns the number of instances that Working returns.
+func (t *Table) WorkingCount() int {
+	n := 1
+	for _, e := range t.entries {
+		if e.Status == Alive || e.Status == Suspect {
+			n++
+		}
+	}
+	return n
+}
+
+// add puts a new entry into its place.
+func (t *Table) add(n Name, e *entry) {
+	t.entries[n] = e
+	i, _ := slices.BinarySearch(t.order, n)
+	t.order = slices.Insert(t.order, i, n)
+}
+
+func (t *Table) remove(n Name) {
+	delete(t.entries, n)
+	if i, ok := slices.BinarySearch(t.order, n); ok {
+		t.order = slices.Delete(t.order, i, i+1)
 	}
-	slices.Sort(names)
-	return names
 }
 
 // Merge takes news from a peer and passes on what is new.
@@ -136,7 +159,7 @@
 			return nil
 		}
 		e = &entry{}
-		t.entries[m.Name] = e
+		t.add(m.Name, e)
 		return t.set(now, e, m, news, true)
 	}
 	if !m.supersedes(e.Member) {
@@ -184,7 +207,7 @@
 func (t *Table) NextProbe(shuffle func(n int, swap func(i, j int))) (Probe, bool) {
 	for range len(t.entries) + 1 {
 		if len(t.ring) == 0 {
-			t.ring = t.names()
+			t.ring = slices.Clone(t.order)
 			shuffle(len(t.ring), func(i, j int) { t.ring[i], t.ring[j] = t.ring[j], t.ring[i] })
 		}
 		if len(t.ring) == 0 {
@@ -203,7 +226,7 @@
 
 func (t *Table) helpers(target Name, shuffle func(n int, swap func(i, j int))) []Member {
 	var out []Member
-	for _, n := range t.names() {
+	for _, n := range t.order {
 		if e := t.entries[n]; n != target && e.Status == Alive {
 			out = append(out, e.Member)
 		}
@@ -229,7 +252,7 @@
 // Expire turns those who were suspected for too long into dead ones.
 func (t *Table) Expire(now time.Time) []Event {
 	var events []Event
-	for _, n := range t.names() {
+	for _, n := range t.order {
 		e := t.entries[n]
 		if e.Status != Suspect || now.Sub(e.since) < t.config.SuspectTime {
 			continue
