--- a/internal/jycapacity/slope_test.go
+++ b/internal/jycapacity/slope_test.go
@@ -1,21 +1,16 @@
 package jycapacity_test
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"maps"
-	"math/rand/v2"
 	"net"
-	"net/http"
 	"runtime"
 	"slices"
 	"strconv"
-	"sync/atomic"
 	"testing"
 	"time"
 
-	"connectrpc.com/connect"
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/proto"
 
@@ -24,7 +19,6 @@
 	"github.com/jackdawyard/jackdawyard/internal/jypeer"
 	"github.com/jackdawyard/jackdawyard/internal/jyreport"
 	"github.com/jackdawyard/jackdawyard/internal/jywire"
-	"github.com/jackdawyard/jackdawyard/internal/jywire/jywireconnect"
 	"github.com/jackdawyard/jackdawyard/pkg/jydedup"
 	"github.com/jackdawyard/jackdawyard/pkg/jydetector"
 	"github.com/jackdawyard/jackdawyard/pkg/jylimit"
@@ -125,117 +119,6 @@
 	return t
 }
 
-// peers answers calls like an instance, and counts the bytes that pass.
-type peers struct {
-	jywireconnect.UnimplementedPeerServiceHandler
-	table *jymember.Table
-}
-
-// Heartbeat answers as jyfleet does.
-func (p *peers) Heartbeat(_ context.Context, r *connect.Request[jywire.HeartbeatRequest]) (*connect.Response[jywire.HeartbeatResponse], error) {
-	now := time.Now()
-	p.table.Merge(now, jypeer.UpdatesFromWire(r.Msg.GetUpdates()))
-	p.table.Answered(now, jypeer.MemberFromWire(r.Msg.GetSender()))
-	return connect.NewResponse(&jywire.HeartbeatResponse{
-		Sender: jypeer.MemberToWire(p.table.Self()), Updates: jypeer.UpdatesToWire(p.table.Updates()),
-		Note: jypeer.MarkToWire(jypeer.Mark{Number: 790}),
-	}), nil
-}
-
-// Report takes a report and answers with one verdict.
-func (p *peers) Report(context.Context, *connect.Request[jywire.ReportRequest]) (*connect.Response[jywire.ReportResponse], error) {
-	verdicts := jypeer.VerdictsToWire(time.Now(), []jydetector.Verdict{{Server: "service-100-server-10", Phase: jydetector.Ejected, Until: time.Now().Add(time.Minute)}})
-	return connect.NewResponse(&jywire.ReportResponse{Services: []*jywire.ServiceVerdicts{{Service: "service-100", Verdicts: verdicts}}}), nil
-}
-
-// Announce takes an announcement.
-func (p *peers) Announce(context.Context, *connect.Request[jywire.AnnounceRequest]) (*connect.Response[jywire.AnnounceResponse], error) {
-	return connect.NewResponse(&jywire.AnnounceResponse{}), nil
-}
-
-// countingListener counts the bytes of all its connections, in both directions.
-type countingListener struct {
-	net.Listener
-	bytes *atomic.Int64
-}
-
-// Accept returns a connection that counts.
-func (l countingListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	return countingConn{c, l.bytes}, err
-}
-
-type countingConn struct {
-	net.Conn
-	bytes *atomic.Int64
-}
-
-// Read counts what comes.
-func (c countingConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
-// Write counts what goes.
-func (c countingConn) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
-// call measures calls between two instances over the real codec and transport, bytes with framing.
-func call(b *testing.B, nodes int, fresh bool, f func(ctx context.Context, c jywireconnect.PeerServiceClient) error) {
-	var bytes atomic.Int64
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(b, err)
-	path, handler := jywireconnect.NewPeerServiceHandler(&peers{table: table(1, nodes)})
-	mux := http.NewServeMux()
-	mux.Handle(path, handler)
-	protocols := &http.Protocols{}
-	protocols.SetUnencryptedHTTP2(true)
-	server := &http.Server{Handler: mux, Protocols: protocols}
-	go func() { _ = server.Serve(countingListener{listener, &bytes}) }()
-	defer func() { _ = server.Close() }()
-	client := jypeer.NewClients(jypeer.Credentials{}).At(listener.Addr().String())
-	require.NoError(b, f(b.Context(), client))
-	bytes.Store(0)
-	calls := 0
-	for b.Loop() {
-		if fresh {
-			client = jypeer.NewClients(jypeer.Credentials{}).At(listener.Addr().String())
-		}
-		if err := f(b.Context(), client); err != nil {
-			b.Fatal(err)
-		}
-		calls++
-	}
-	b.ReportMetric(float64(bytes.Load())/float64(calls), wireUnit)
-}
-
-// heartbeat measures an exchange in a quiet fleet, in which one member is news at any time.
-func heartbeat(b *testing.B, nodes int) {
-	defer b.ReportMetric(heapOf(func() any { return table(0, nodes) }), heapUnit)
-	t := table(0, nodes)
-	news := member(2)
-	call(b, nodes, false, func(ctx context.Context, c jywireconnect.PeerServiceClient) error {
-		news.Incarnation++
-		m := news
-		t.Merge(time.Now(), []jymember.Update{{Member: &m}})
-		t.NextProbe(rand.Shuffle)
-		t.Expire(time.Now())
-		r, err := c.Heartbeat(ctx, connect.NewRequest(&jywire.HeartbeatRequest{
-			Sender: jypeer.MemberToWire(t.Self()), Updates: jypeer.UpdatesToWire(t.Updates()), Note: jypeer.MarkToWire(jypeer.Mark{Number: 790}),
-		}))
-		if err != nil {
-			return err
-		}
-		t.Merge(time.Now(), jypeer.UpdatesFromWire(r.Msg.GetUpdates()))
-		t.Answered(time.Now(), jypeer.MemberFromWire(r.Msg.GetSender()))
-		return nil
-	})
-}
-
 // everything measures the answer to a first heartbeat.
 func everything(b *testing.B, nodes int) {
 	t := table(0, nodes)
@@ -336,16 +219,6 @@
 	return &jywire.ReportRequest{Reporter: fmt.Sprintf("entry-%03d", reporter), Boot: 1796352455905, DataCentre: fmt.Sprint("centre-", reporter%6), Services: []*jywire.ServiceReport{r}}
 }
 
-// report measures a report on a number of servers, and its answer.
-func report(b *testing.B, servers int) {
-	n := uint64(0)
-	call(b, 15, false, func(ctx context.Context, c jywireconnect.PeerServiceClient) error {
-		n += 20
-		_, err := c.Report(ctx, connect.NewRequest(reportOf(1, servers, n)))
-		return err
-	})
-}
-
 // pool measures the detector of one service of 16 servers to which a number of nodes report, three servers each.
 func pool(b *testing.B, nodes int) {
 	const servers, each = 16, 3
@@ -570,81 +443,3 @@
 		p.Put(c, time.Now())
 	}
 }
-
-// announce measures one announcement of a note.
-func announce(b *testing.B, _ int) {
-	call(b, 15, false, func(ctx context.Context, c jywireconnect.PeerServiceClient) error {
-		_, err := c.Announce(ctx, connect.NewRequest(&jywire.AnnounceRequest{SenderAddress: "10.1.1.1:9080", Note: jypeer.MarkToWire(jypeer.Mark{Number: 790})}))
-		return err
-	})
-}
-
-// newConnection measures a call that has to open its connection first.
-func newConnection(b *testing.B, _ int) {
-	call(b, 15, true, func(ctx context.Context, c jywireconnect.PeerServiceClient) error {
-		_, err := c.Announce(ctx, connect.NewRequest(&jywire.AnnounceRequest{SenderAddress: "10.1.1.1:9080", Note: jypeer.MarkToWire(jypeer.Mark{Number: 790})}))
-		return err
-	})
-}
-
-// spread measures, in virtual time, how long a note takes from the watchers to the last of a number of nodes: each that
-// has it tells ten others, each of which fetches it, and one heartbeat a second makes up for whom nobody told.
-func spread(b *testing.B, nodes int) {
-	const (
-		trials   = 20
-		fanOut   = 10
-		hop      = 0.020 // announcement, fetch and coming into force, in seconds
-		interval = 1.0
-	)
-	slowest, sum := 0.0, 0.0
-	for trial := range uint64(trials) {
-		took := spreadOnce(rand.New(rand.NewPCG(trial, 7)), nodes, fanOut, hop, interval)
-		slowest = max(slowest, took)
-		sum += took
-	}
-	for b.Loop() {
-		runtime.KeepAlive(slowest)
-	}
-	b.ReportMetric(slowest, "s-virtual")
-	b.ReportMetric(sum/trials, "s-mean")
-}
-
-// spreadOnce returns when the last node has the note.
-func spreadOnce(random *rand.Rand, nodes, fanOut int, hop, interval float64) float64 {
-	const never = 1e9
-	has := make([]float64, nodes)
-	var queue []int
-	for i := range has {
-		has[i] = never
-		if i < 12 {
-			has[i] = 0
-			queue = append(queue, i)
-		}
-	}
-	tell := func(at float64, to int) {
-		if has[to] > at {
-			has[to] = at
-			queue = append(queue, to)
-		}
-	}
-	for step := 0.0; slices.Max(has) == never; step += interval / 50 {
-		for len(queue) > 0 && has[queue[0]] <= step {
-			from := queue[0]
-			queue = queue[1:]
-			for range fanOut {
-				tell(has[from]+hop, random.IntN(nodes))
-			}
-		}
-		for i := range has {
-			if random.Float64() > 1.0/50 {
-				continue
-			}
-			if peer := random.IntN(nodes); has[i] <= step {
-				tell(step+hop, peer)
-			} else if has[peer] <= step {
-				tell(step+hop, i)
-			}
-		}
-	}
-	return slices.Max(has)
-}
--- /dev/null
+++ b/internal/jycapacity/wire_test.go
@@ -0,0 +1,157 @@
+package jycapacity_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/stretchr/testify/require"
+
+	"github.com/jackdawyard/jackdawyard/internal/jypeer"
+	"github.com/jackdawyard/jackdawyard/internal/jywire"
+	"github.com/jackdawyard/jackdawyard/internal/jywire/jywireconnect"
+	"github.com/jackdawyard/jackdawyard/pkg/jydetector"
+	"github.com/jackdawyard/jackdawyard/pkg/jymember"
+)
+
+// peers answers calls like an instance, and counts the bytes that pass.
+type peers struct {
+	jywireconnect.UnimplementedPeerServiceHandler
+	table *jymember.Table
+}
+
+// Heartbeat answers as jyfleet does.
+func (p *peers) Heartbeat(_ context.Context, r *connect.Request[jywire.HeartbeatRequest]) (*connect.Response[jywire.HeartbeatResponse], error) {
+	now := time.Now()
+	p.table.Merge(now, jypeer.UpdatesFromWire(r.Msg.GetUpdates()))
+	p.table.Answered(now, jypeer.MemberFromWire(r.Msg.GetSender()))
+	return connect.NewResponse(&jywire.HeartbeatResponse{
+		Sender: jypeer.MemberToWire(p.table.Self()), Updates: jypeer.UpdatesToWire(p.table.Updates()),
+		Note: jypeer.MarkToWire(jypeer.Mark{Number: 790}),
+	}), nil
+}
+
+// Report takes a report and answers with one verdict.
+func (p *peers) Report(context.Context, *connect.Request[jywire.ReportRequest]) (*connect.Response[jywire.ReportResponse], error) {
+	verdicts := jypeer.VerdictsToWire(time.Now(), []jydetector.Verdict{{Server: "service-100-server-10", Phase: jydetector.Ejected, Until: time.Now().Add(time.Minute)}})
+	return connect.NewResponse(&jywire.ReportResponse{Services: []*jywire.ServiceVerdicts{{Service: "service-100", Verdicts: verdicts}}}), nil
+}
+
+// Announce takes an announcement.
+func (p *peers) Announce(context.Context, *connect.Request[jywire.AnnounceRequest]) (*connect.Response[jywire.AnnounceResponse], error) {
+	return connect.NewResponse(&jywire.AnnounceResponse{}), nil
+}
+
+// countingListener counts the bytes of all its connections, in both directions.
+type countingListener struct {
+	net.Listener
+	bytes *atomic.Int64
+}
+
+// Accept returns a connection that counts.
+func (l countingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return countingConn{c, l.bytes}, err
+}
+
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+// Read counts what comes.
+func (c countingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// Write counts what goes.
+func (c countingConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// call measures calls between two instances over the real codec and transport, bytes with framing.
+func call(b *testing.B, nodes int, fresh bool, f func(ctx context.Context, c jywireconnect.PeerServiceClient) error) {
+	var bytes atomic.Int64
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(b, err)
+	path, handler := jywireconnect.NewPeerServiceHandler(&peers{table: table(1, nodes)})
+	mux := http.NewServeMux()
+	mux.Handle(path, handler)
+	protocols := &http.Protocols{}
+	protocols.SetUnencryptedHTTP2(true)
+	server := &http.Server{Handler: mux, Protocols: protocols}
+	go func() { _ = server.Serve(countingListener{listener, &bytes}) }()
+	defer func() { _ = server.Close() }()
+	client := jypeer.NewClients(jypeer.Credentials{}).At(listener.Addr().String())
+	require.NoError(b, f(b.Context(), client))
+	bytes.Store(0)
+	calls := 0
+	for b.Loop() {
+		if fresh {
+			client = jypeer.NewClients(jypeer.Credentials{}).At(listener.Addr().String())
+		}
+		if err := f(b.Context(), client); err != nil {
+			b.Fatal(err)
+		}
+		calls++
+	}
+	b.ReportMetric(float64(bytes.Load())/float64(calls), wireUnit)
+}
+
+// heartbeat measures an exchange in a quiet fleet, in which one member is news at any time.
+func heartbeat(b *testing.B, nodes int) {
+	defer b.ReportMetric(heapOf(func() any { return table(0, nodes) }), heapUnit)
+	t := table(0, nodes)
+	news := member(2)
+	call(b, nodes, false, func(ctx context.Context, c jywireconnect.PeerServiceClient) error {
+		news.Incarnation++
+		m := news
+		t.Merge(time.Now(), []jymember.Update{{Member: &m}})
+		t.NextProbe(rand.Shuffle)
+		t.Expire(time.Now())
+		r, err := c.Heartbeat(ctx, connect.NewRequest(&jywire.HeartbeatRequest{
+			Sender: jypeer.MemberToWire(t.Self()), Updates: jypeer.UpdatesToWire(t.Updates()), Note: jypeer.MarkToWire(jypeer.Mark{Number: 790}),
+		}))
+		if err != nil {
+			return err
+		}
+		t.Merge(time.Now(), jypeer.UpdatesFromWire(r.Msg.GetUpdates()))
+		t.Answered(time.Now(), jypeer.MemberFromWire(r.Msg.GetSender()))
+		return nil
+	})
+}
+
+// report measures a report on a number of servers, and its answer.
+func report(b *testing.B, servers int) {
+	n := uint64(0)
+	call(b, 15, false, func(ctx context.Context, c jywireconnect.PeerServiceClient) error {
+		n += 20
+		_, err := c.Report(ctx, connect.NewRequest(reportOf(1, servers, n)))
+		return err
+	})
+}
+
+// announce measures one announcement of a note.
+func announce(b *testing.B, _ int) {
+	call(b, 15, false, func(ctx context.Context, c jywireconnect.PeerServiceClient) error {
+		_, err := c.Announce(ctx, connect.NewRequest(&jywire.AnnounceRequest{SenderAddress: "10.1.1.1:9080", Note: jypeer.MarkToWire(jypeer.Mark{Number: 790})}))
+		return err
+	})
+}
+
+// newConnection measures a call that has to open its connection first.
+func newConnection(b *testing.B, _ int) {
+	call(b, 15, true, func(ctx context.Context, c jywireconnect.PeerServiceClient) error {
+		_, err := c.Announce(ctx, connect.NewRequest(&jywire.AnnounceRequest{SenderAddress: "10.1.1.1:9080", Note: jypeer.MarkToWire(jypeer.Mark{Number: 790})}))
+		return err
+	})
+}
