Earn retries by answers, and retry server errors of idempotent requests

Cause: at 90% load on targets of two slots, 7% of the requests were refused because the budget of 10% of the requests was used up by declared sheds, while the same budget let a service that fails as a whole be asked 1.1 times. Retries are now earned by answers, 20% of them. Idempotent requests that get a server error are tried once more within the same budget.

--- a/internal/jybackend/service.go
+++ b/internal/jybackend/service.go
@@ -49,11 +49,11 @@
 // TailLatency returns the 99th percentile of the service's answers as this instance sees them.
 func (v *Service) TailLatency() time.Duration { return v.latency.tailValue() }
 
-// CreditRequest lets the service's retry budget grow by one request.
-func (v *Service) CreditRequest() {
+// CreditSuccess lets the service's retry budget grow by one answered request.
+func (v *Service) CreditSuccess() {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.budget.Request()
+	v.budget.Success()
 }
 
 // TakeRetry takes one retry from the service's budget and reports whether there was one.
--- a/internal/jycommand/experiment.go
+++ b/internal/jycommand/experiment.go
@@ -27,6 +27,19 @@
 					})
 				},
 			},
+			{
+				Name: "slots", Usage: "ways of sharing the slots of targets between instances",
+				Flags: []cli.Flag{
+					&cli.IntFlag{Name: "seeds", Value: 6},
+					&cli.IntFlag{Name: "instances", Value: 15},
+					&cli.DurationFlag{Name: "time", Usage: "virtual time of each run", Value: 20 * time.Second},
+				},
+				Action: func(_ context.Context, c *cli.Command) error {
+					return jyexperiment.WriteSlots(c.Root().Writer, jyexperiment.SlotOptions{
+						Seeds: int(c.Int("seeds")), Instances: int(c.Int("instances")), Time: c.Duration("time"),
+					})
+				},
+			},
 			capacityCommand(),
 		},
 	}
--- /dev/null
+++ b/internal/jyexperiment/slots.go
@@ -0,0 +1,232 @@
+package jyexperiment
+
+import (
+	"container/heap"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/jackdawyard/jackdawyard/pkg/jyretry"
+)
+
+// SlotCase is one way of sharing the slots of a service's targets under one load.
+type SlotCase struct {
+	Instances int
+	Targets   int
+	Slots     int
+	// Queue is the number of requests that wait at a target before it sheds load.
+	Queue int
+	// Load is the offered work as a share of what all slots can do.
+	Load     float64
+	Latency  time.Duration // mean time of a request in a slot
+	OneWay   time.Duration // between an instance and a target, or another instance
+	Deadline time.Duration
+	Time     time.Duration // of arrivals
+	Policy   string
+	// OverloadUntil makes the load twice as high before this time, to see whether the service recovers.
+	OverloadUntil time.Duration
+}
+
+// SlotResult is what one run found.
+type SlotResult struct {
+	// Goodput is the share of what all slots can do, or of the offered work if that is less, that ended within its deadline.
+	Goodput float64
+	P99     time.Duration
+	// Sheds is the number of attempts that a target refused, for each request.
+	Sheds float64
+	// Amplification is the number of attempts for each request.
+	Amplification float64
+	// Fairness is the goodput of the worst instance against the mean.
+	Fairness float64
+	// Recovery is the time after OverloadUntil until a second with full goodput.
+	Recovery time.Duration
+}
+
+// slotSim is one run in virtual time.
+type slotSim struct {
+	c        SlotCase
+	random   *rand.Rand
+	now      time.Duration
+	events   eventQueue
+	sequence uint64
+	targets  []target
+	policy   slotPolicy
+	budgets  []*jyretry.Budget
+
+	arrived, attempts, sheds int
+	good                     []int // by instance
+	goodBySecond             []int
+	latencies                []time.Duration
+}
+
+type target struct {
+	busy    int
+	waiting []*slotRequest
+}
+
+type slotRequest struct {
+	instance int
+	arrived  time.Duration
+	target   int
+	tried    []int
+}
+
+type event struct {
+	at       time.Duration
+	sequence uint64
+	run      func()
+}
+
+type eventQueue []event
+
+func (q eventQueue) Len() int { return len(q) }
+func (q eventQueue) Less(i, j int) bool {
+	if q[i].at != q[j].at {
+		return q[i].at < q[j].at
+	}
+	return q[i].sequence < q[j].sequence
+}
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *eventQueue) Pop() any {
+	last := len(*q) - 1
+	e := (*q)[last]
+	*q = (*q)[:last]
+	return e
+}
+
+func (s *slotSim) after(d time.Duration, run func()) {
+	s.sequence++
+	heap.Push(&s.events, event{at: s.now + d, sequence: s.sequence, run: run})
+}
+
+// Slots runs one case.
+func Slots(c SlotCase, seed uint64) SlotResult {
+	s := &slotSim{
+		c: c, random: rand.New(rand.NewPCG(seed, 5)), targets: make([]target, c.Targets), good: make([]int, c.Instances),
+		goodBySecond: make([]int, int(c.Time/time.Second)+2),
+	}
+	for range c.Instances {
+		s.budgets = append(s.budgets, jyretry.NewBudget(retryShare))
+	}
+	s.policy = newSlotPolicy(s)
+	s.after(0, s.arrive)
+	for s.events.Len() > 0 {
+		e := heap.Pop(&s.events).(event)
+		s.now = e.at
+		e.run()
+	}
+	return s.result()
+}
+
+// retryShare is the default of the setting RetryBudgetShare.
+const retryShare = 0.2
+
+func (s *slotSim) capacity() float64 {
+	return float64(s.c.Targets*s.c.Slots) / s.c.Latency.Seconds()
+}
+
+func (s *slotSim) arrive() {
+	if s.now >= s.c.Time {
+		return
+	}
+	rate := s.c.Load * s.capacity()
+	if s.now < s.c.OverloadUntil {
+		rate *= 2
+	}
+	s.after(time.Duration(s.random.ExpFloat64()/rate*float64(time.Second)), s.arrive)
+	s.arrived++
+	r := &slotRequest{instance: s.random.IntN(s.c.Instances), arrived: s.now}
+	s.policy.start(r)
+}
+
+// send brings a request to a target.
+func (s *slotSim) send(r *slotRequest, to int) {
+	r.target = to
+	r.tried = append(r.tried, to)
+	s.attempts++
+	s.after(s.c.OneWay, func() { s.reach(r) })
+}
+
+func (s *slotSim) reach(r *slotRequest) {
+	t := &s.targets[r.target]
+	switch {
+	case t.busy < s.c.Slots:
+		t.busy++
+		s.work(r)
+	case len(t.waiting) < s.c.Queue:
+		t.waiting = append(t.waiting, r)
+	default:
+		s.sheds++
+		s.after(s.c.OneWay, func() { s.shed(r) })
+	}
+}
+
+func (s *slotSim) work(r *slotRequest) {
+	d := time.Duration(float64(s.c.Latency) * math.Exp(latencySpread*s.random.NormFloat64()-latencySpread*latencySpread/2))
+	s.after(d, func() {
+		s.after(s.c.OneWay, func() { s.finish(r) })
+		t := &s.targets[r.target]
+		if len(t.waiting) == 0 {
+			t.busy--
+			return
+		}
+		next := t.waiting[0]
+		t.waiting = t.waiting[1:]
+		s.work(next)
+	})
+}
+
+func (s *slotSim) finish(r *slotRequest) {
+	s.policy.done(r)
+	s.budgets[r.instance].Success()
+	took := s.now - r.arrived
+	if took > s.c.Deadline {
+		return
+	}
+	s.good[r.instance]++
+	s.goodBySecond[min(len(s.goodBySecond)-1, int(s.now/time.Second))]++
+	s.latencies = append(s.latencies, took)
+}
+
+// shed retries a refused request at another target if the budget allows.
+func (s *slotSim) shed(r *slotRequest) {
+	s.policy.done(r)
+	if len(r.tried) < jyretry.MaxAttempts && s.now-r.arrived < s.c.Deadline && s.budgets[r.instance].Take() {
+		s.policy.start(r)
+	}
+}
+
+func (s *slotSim) result() SlotResult {
+	total := 0
+	for _, n := range s.good {
+		total += n
+	}
+	possible := math.Min(1, s.c.Load) * s.capacity() * s.c.Time.Seconds()
+	out := SlotResult{
+		Goodput:       float64(total) / possible,
+		Sheds:         float64(s.sheds) / float64(s.arrived),
+		Amplification: float64(s.attempts) / float64(s.arrived),
+		Fairness:      float64(slices.Min(s.good)) * float64(s.c.Instances) / math.Max(1, float64(total)),
+	}
+	if len(s.latencies) > 0 {
+		slices.Sort(s.latencies)
+		out.P99 = s.latencies[len(s.latencies)*99/100]
+	}
+	out.Recovery = s.recovery()
+	return out
+}
+
+// fullShare of the possible goodput counts as full.
+const fullShare = 0.95
+
+func (s *slotSim) recovery() time.Duration {
+	first := int(s.c.OverloadUntil / time.Second)
+	for i := first; i < int(s.c.Time/time.Second); i++ {
+		if float64(s.goodBySecond[i]) >= fullShare*math.Min(1, s.c.Load)*s.capacity() {
+			return time.Duration(i-first) * time.Second
+		}
+	}
+	return s.c.Time
+}
--- a/internal/jyproxy/answer.go
+++ b/internal/jyproxy/answer.go
@@ -49,6 +49,13 @@
 	}
 }
 
+// discard ends an answer that the caller does not get.
+func (a *answer) discard() {
+	if a.rest != nil {
+		a.finish(false)
+	}
+}
+
 // result returns the answer as it is remembered for resends.
 func (a *answer) result() jydedup.Result {
 	return jydedup.Result{
--- a/internal/jyproxy/forwarder.go
+++ b/internal/jyproxy/forwarder.go
@@ -39,7 +39,6 @@
 
 // forward returns the answer to the request, or the refusal that the caller gets.
 func (f *Forwarder) forward(ctx context.Context, r *request) (*answer, *jyoutcome.Refusal) {
-	r.service.CreditRequest()
 	for {
 		now := time.Now()
 		if !now.Before(r.deadline) {
@@ -56,6 +55,10 @@
 		r.tried = append(r.tried, server)
 		a := &attempt{forwarder: f, request: r, server: server}
 		out, failure := a.run(ctx)
+		if failure == nil && f.retriesAnswer(r, out) {
+			out.discard()
+			continue
+		}
 		if failure == nil {
 			f.completed(r)
 			return out, nil
@@ -77,6 +80,18 @@
 	}
 }
 
+// retriesAnswer reports whether a server error is tried again at another backend server; without budget it is passed on.
+func (f *Forwarder) retriesAnswer(r *request, a *answer) bool {
+	if a.status < http.StatusInternalServerError {
+		r.service.CreditSuccess()
+		return false
+	}
+	if !r.match.Idempotent || !r.replayable() || r.attempts >= jyretry.MaxAttempts || r.attempts >= len(r.service.Servers) {
+		return false
+	}
+	return r.service.TakeRetry()
+}
+
 // refuse returns the refusal of a request that is not tried, or not tried again.
 func (f *Forwarder) refuse(r *request, reason jyoutcome.Reason) *jyoutcome.Refusal {
 	refusal := jyretry.RefusalFor(
