--- a/internal/jyevidence/evidence.go
+++ b/internal/jyevidence/evidence.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/jackdawyard/jackdawyard/internal/jybackend"
@@ -42,6 +43,14 @@
 	local   map[jynote.ServiceName]*jydetector.Detector
 	pool    *pool
 	changed *jyring.Ring[jynote.ServiceName] // services whose pooled verdicts changed
+	mu      sync.Mutex
+	told    map[jynote.ServiceName]statement // the last that was followed
+}
+
+// statement identifies what a pooling instance said of a service.
+type statement struct {
+	by      jymember.Run
+	version uint64
 }
 
 type sentKey struct {
@@ -54,8 +63,10 @@
 	e := &Evidence{
 		config: c, urgent: jyring.New[jynote.ServiceName](ringSize), changed: jyring.New[jynote.ServiceName](ringSize),
 		sent: map[sentKey]jydetector.Counts{}, local: map[jynote.ServiceName]*jydetector.Detector{},
+		told: map[jynote.ServiceName]statement{},
 	}
-	e.pool = newPool(c.Directory, e.changed.Push)
+	self := c.Fleet.Self()
+	e.pool = newPool(jymember.Run{Name: self.Name, Boot: self.Boot}, c.Directory, e.changed.Push)
 	return e
 }
 
--- a/internal/jyevidence/pool.go
+++ b/internal/jyevidence/pool.go
@@ -18,6 +18,7 @@
 
 // pool holds the detectors of the services whose evidence this instance pools.
 type pool struct {
+	self      jymember.Run
 	directory *jybackend.Directory
 	onChange  func(jynote.ServiceName)
 	mu        sync.Mutex
@@ -28,10 +29,20 @@
 	detector  *jydetector.Detector
 	reporters map[jymember.Name]time.Time // when each reported last
 	reported  time.Time
+	version   uint64 // of the last statement
 }
 
-func newPool(d *jybackend.Directory, onChange func(jynote.ServiceName)) *pool {
-	return &pool{directory: d, onChange: onChange, services: map[jynote.ServiceName]*pooled{}}
+// state returns the service's verdicts as they are told to reporters.
+func (p *pool) state(now time.Time, name jynote.ServiceName, s *pooled) *jywire.ServiceVerdicts {
+	s.version++
+	return &jywire.ServiceVerdicts{
+		Service: string(name), Verdicts: jypeer.VerdictsToWire(now, s.detector.Verdicts()),
+		PooledBy: jypeer.RunToWire(p.self), Version: s.version,
+	}
+}
+
+func newPool(self jymember.Run, d *jybackend.Directory, onChange func(jynote.ServiceName)) *pool {
+	return &pool{self: self, directory: d, onChange: onChange, services: map[jynote.ServiceName]*pooled{}}
 }
 
 // take adds a report to the evidence and returns the verdicts on its services.
@@ -54,14 +65,13 @@
 		for _, t := range s.GetTotals() {
 			report.Totals = append(report.Totals, jypeer.TotalsFromWire(t))
 		}
-		changes := d.Observe(now, report)
-		p.log(v, changes)
-		out = append(out, &jywire.ServiceVerdicts{Service: s.GetService(), Verdicts: jypeer.VerdictsToWire(now, d.Verdicts())})
+		p.log(v, d.detector.Observe(now, report))
+		out = append(out, p.state(now, v.Info.Name, d))
 	}
 	return out
 }
 
-func (p *pool) service(now time.Time, v *jybackend.Service, reporter jymember.Name) *jydetector.Detector {
+func (p *pool) service(now time.Time, v *jybackend.Service, reporter jymember.Name) *pooled {
 	s := p.services[v.Info.Name]
 	if s == nil {
 		s = &pooled{detector: jydetector.New(configOf(v.Info)), reporters: map[jymember.Name]time.Time{}}
@@ -71,7 +81,7 @@
 	s.reported = now
 	s.detector.Configure(configOf(v.Info))
 	s.detector.SetServers(now, serversOf(v))
-	return s.detector
+	return s
 }
 
 func (p *pool) forget(now time.Time) {
@@ -93,7 +103,7 @@
 		if s == nil || s.reporters[to].IsZero() {
 			continue
 		}
-		out = append(out, &jywire.ServiceVerdicts{Service: string(name), Verdicts: jypeer.VerdictsToWire(now, s.detector.Verdicts())})
+		out = append(out, p.state(now, name, s))
 	}
 	return out
 }
--- a/internal/jyevidence/send.go
+++ b/internal/jyevidence/send.go
@@ -62,12 +62,24 @@
 	snapshot := e.config.Directory.Snapshot()
 	now := time.Now()
 	for _, w := range list {
-		if v := snapshot.Service(jynote.ServiceName(w.GetService())); v != nil {
+		v := snapshot.Service(jynote.ServiceName(w.GetService()))
+		if v != nil && e.isNews(v.Info.Name, statement{by: jypeer.RunFromWire(w.GetPooledBy()), version: w.GetVersion()}) {
 			v.SetFleetVerdicts(jypeer.VerdictsFromWire(now, w.GetVerdicts()))
 		}
 	}
 }
 
+// isNews reports whether a statement is not older than the one that was followed last; answers may come out of order.
+func (e *Evidence) isNews(s jynote.ServiceName, latest statement) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if old := e.told[s]; old.by == latest.by && latest.version <= old.version {
+		return false
+	}
+	e.told[s] = latest
+	return true
+}
+
 // tell brings changed verdicts to all instances that report to this one, so that they need not ask.
 func (e *Evidence) tell(ctx context.Context) {
 	changed := e.changed.Drain(nil)
--- a/internal/jynode/node.go
+++ b/internal/jynode/node.go
@@ -1,6 +1,7 @@
 package jynode
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"fmt"
@@ -116,7 +117,7 @@
 	})
 	n.fleet = jyfleet.New(jyfleet.Config{
 		Self: jymember.Member{
-			Name: jymember.Name(s.Name), Boot: n.boot, Address: s.PeerAddress, DataCentre: s.DataCentre, Region: s.Region,
+			Name: jymember.Name(s.Name), Boot: n.boot, Address: cmp.Or(s.AdvertisedAddress, s.PeerAddress), DataCentre: s.DataCentre, Region: s.Region,
 		},
 		Interval: s.HeartbeatInterval, Timeout: s.PeerTimeout, Memory: s.RequestIDLifetime + s.RequestIDRetention,
 		Clients: clients, Mark: n.release.Mark, OnMark: n.release.OnMark,
--- a/internal/jysettings/keys.go
+++ b/internal/jysettings/keys.go
@@ -19,6 +19,7 @@
 		{Section: sectionInstance, Name: "Region", Default: "Default", Allowed: "a name", Meaning: "The region of the data centre.", set: text(func(s *Settings) *string { return &s.Region })},
 		{Section: sectionInstance, Name: "CallerAddress", Allowed: "an IP number and a port", Meaning: "Where callers, through the balancer, reach the instance.", set: address(func(s *Settings) *string { return &s.CallerAddress })},
 		{Section: sectionInstance, Name: "PeerAddress", Allowed: "an IP number and a port", Meaning: "Where other instances reach this one.", set: address(func(s *Settings) *string { return &s.PeerAddress })},
+		{Section: sectionInstance, Name: "AdvertisedAddress", Optional: true, Allowed: "an IP number and a port", Meaning: "Where other instances reach this one if not at PeerAddress itself, as behind a translation of addresses.", set: address(func(s *Settings) *string { return &s.AdvertisedAddress })},
 		{Section: sectionInstance, Name: "OperatorAddress", Allowed: "an IP number and a port", Meaning: "Where operators and the balancer's checks reach the instance.", set: address(func(s *Settings) *string { return &s.OperatorAddress })},
 		{Section: sectionInstance, Name: "BalancerNotice", Unit: "time", Default: "2s", Allowed: "0s to 1m", Meaning: "How long a leaving instance still takes new requests, so that the balancer can notice.", set: duration(0, time.Minute, func(s *Settings) *time.Duration { return &s.BalancerNotice })},
 
--- a/internal/jysettings/settings.go
+++ b/internal/jysettings/settings.go
@@ -10,7 +10,9 @@
 	CallerAddress   string
 	PeerAddress     string
 	OperatorAddress string
-	MemoryLimit     int64
+	// AdvertisedAddress is empty where PeerAddress serves.
+	AdvertisedAddress string
+	MemoryLimit       int64
 
 	ConfigurationAddress string
 	WatchWait            time.Duration
--- a/internal/jystandin/backend_server.go
+++ b/internal/jystandin/backend_server.go
@@ -168,10 +168,10 @@
 	if f.Draining {
 		w.Header().Set(DrainHeader, MarkValue)
 	}
-	b.answer(w, r, body)
+	b.answer(w, r, body, rand.Float64() < f.CutShare)
 }
 
-func (b *BackendServer) answer(w http.ResponseWriter, r *http.Request, body []byte) {
+func (b *BackendServer) answer(w http.ResponseWriter, r *http.Request, body []byte, cut bool) {
 	sum := sha256.Sum256(body)
 	echo := Echo{
 		Token: r.Header.Get(TokenHeader), Server: b.config.Name,
@@ -181,9 +181,23 @@
 		echo.Padding = strings.Repeat("x", n)
 	}
 	w.Header().Set(ServerHeader, b.config.Name)
+	if cut {
+		writeHalf(w, echo)
+	}
 	writeJSON(w, echo)
 }
 
+// writeHalf sends half of an answer and closes the connection.
+func writeHalf(w http.ResponseWriter, echo Echo) {
+	raw, err := json.Marshal(echo)
+	if err == nil {
+		w.Header().Set("Content-Length", strconv.Itoa(len(raw)))
+		_, _ = w.Write(raw[:len(raw)/2])
+		_ = http.NewResponseController(w).Flush()
+	}
+	panic(http.ErrAbortHandler)
+}
+
 func (b *BackendServer) takeEffect(r *http.Request) {
 	if r.Method == http.MethodGet || r.Method == http.MethodHead {
 		return
--- a/internal/jystandin/fault.go
+++ b/internal/jystandin/fault.go
@@ -8,6 +8,8 @@
 	FailShare float64
 	// LoseShare of the requests get their connection closed without an answer.
 	LoseShare float64
+	// CutShare of the requests get half of their answer, and then their connection is closed.
+	CutShare float64
 	// HangShare of the requests get no answer at all.
 	HangShare float64
 	// EffectBeforeFault makes a request that meets a fault take effect all the same.
--- a/scenario/fleet_test.go
+++ b/scenario/fleet_test.go
@@ -64,6 +64,7 @@
 	file     string
 	caller   string
 	operator string
+	cut      *cut // on the way of others to this instance
 	process  *exec.Cmd
 	ended    chan struct{}
 }
@@ -106,17 +107,17 @@
 }
 
 func (f *fleet) prepare(i int) jyplatform.Instance {
-	peer := f.free()
-	e := &entry{name: fmt.Sprintf("entry-%d", i+1), caller: f.free(), operator: f.free()}
+	peer, advertised := f.free(), f.free()
+	e := &entry{cut: newCut(f.t, advertised, peer), name: fmt.Sprintf("entry-%d", i+1), caller: f.free(), operator: f.free()}
 	e.file = filepath.Join(f.folder, e.name+".ini")
 	centre := fmt.Sprintf("dc-%d", i%3+1)
-	text := fmt.Sprintf("[Instance]\nName = %s\nDataCentre = %s\nCallerAddress = %s\nPeerAddress = %s\nOperatorAddress = %s\nBalancerNotice = 300ms\n"+
+	text := fmt.Sprintf("[Instance]\nName = %s\nDataCentre = %s\nCallerAddress = %s\nPeerAddress = %s\nAdvertisedAddress = %s\nOperatorAddress = %s\nBalancerNotice = 300ms\n"+
 		"[Platform]\nConfigurationAddress = %s\nPollInterval = 1s\n[Peers]\nSharedKey = scenario-key-of-16\nHeartbeatInterval = 100ms\nReportInterval = 200ms\n"+
 		"[Callers]\nCallerRate = 100000\nCallerBurst = 100000\nCallerConcurrency = 10000\n",
-		e.name, centre, e.caller, peer, e.operator, f.url)
+		e.name, centre, e.caller, peer, advertised, e.operator, f.url)
 	require.NoError(f.t, os.WriteFile(e.file, []byte(text), 0o600))
 	f.entries = append(f.entries, e)
-	return jyplatform.Instance{Name: e.name, PeerAddress: peer, DataCentre: centre, State: jyplatform.Live}
+	return jyplatform.Instance{Name: e.name, PeerAddress: advertised, DataCentre: centre, State: jyplatform.Live}
 }
 
 // start runs an entry instance; it is killed when the test ends.
