Read the mark of the note in force without a lock

The membership held its lock while it asked the release for its mark; the release held its lock while a state came into force, which asks the membership how many instances share the servers. Found in a stack dump of the instance that hung. The mark is now an atomic pointer, and the membership reads it before it takes its lock. Ruled out: the one-way cut itself, which only made the race likely.

--- a/internal/jyfleet/fleet.go
+++ b/internal/jyfleet/fleet.go
@@ -125,13 +125,14 @@
 }
 
 func (f *Fleet) request(to jymember.Name) *jywire.HeartbeatRequest {
+	mark := f.config.Mark()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.asked++
 	return &jywire.HeartbeatRequest{
 		Sender:          jypeer.MemberToWire(f.table.Self()),
 		Updates:         jypeer.UpdatesToWire(f.table.UpdatesFor(to)),
-		Note:            jypeer.MarkToWire(f.config.Mark()),
+		Note:            jypeer.MarkToWire(mark),
 		WantsEverything: f.asked <= askEverything,
 	}
 }
@@ -179,6 +180,7 @@
 // Heartbeat answers a peer's heartbeat.
 func (f *Fleet) Heartbeat(_ context.Context, r *connect.Request[jywire.HeartbeatRequest]) (*connect.Response[jywire.HeartbeatResponse], error) {
 	f.learn(r.Msg.GetSender(), r.Msg.GetUpdates(), r.Msg.GetNote(), true)
+	mark := f.config.Mark()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	updates := f.table.UpdatesFor(jymember.Name(r.Msg.GetSender().GetName()))
@@ -188,7 +190,7 @@
 	return connect.NewResponse(&jywire.HeartbeatResponse{
 		Sender:  jypeer.MemberToWire(f.table.Self()),
 		Updates: jypeer.UpdatesToWire(updates),
-		Note:    jypeer.MarkToWire(f.config.Mark()),
+		Note:    jypeer.MarkToWire(mark),
 	}), nil
 }
 
--- a/internal/jyrelease/release.go
+++ b/internal/jyrelease/release.go
@@ -56,8 +56,10 @@
 
 // Release holds what is in force at this instance.
 type Release struct {
-	config   Config
-	fleet    Fleet
+	config Config
+	fleet  Fleet
+	// mark is read without mu: the membership shows it in heartbeats, and coming into force asks the membership.
+	mark     atomic.Pointer[jypeer.Mark]
 	mu       sync.Mutex
 	sequence *jynote.Sequence
 	peerMark map[string]jypeer.Mark // marks under the same number with other content, by address
@@ -68,19 +70,16 @@
 
 // New returns a release with nothing in force; SetFleet must follow.
 func New(c Config) *Release {
-	return &Release{config: c, sequence: jynote.NewSequence(), peerMark: map[string]jypeer.Mark{}}
+	r := &Release{config: c, sequence: jynote.NewSequence(), peerMark: map[string]jypeer.Mark{}}
+	r.mark.Store(&jypeer.Mark{})
+	return r
 }
 
 // SetFleet tells the membership, which in turn needs this release's mark.
 func (r *Release) SetFleet(f Fleet) { r.fleet = f }
 
 // Mark returns the note in force.
-func (r *Release) Mark() jypeer.Mark {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	s := r.sequence.State()
-	return jypeer.Mark{Number: s.Number, Digest: s.Digest}
-}
+func (r *Release) Mark() jypeer.Mark { return *r.mark.Load() }
 
 // IsReady reports whether the instance has compared with its peers and has a note in force.
 func (r *Release) IsReady() bool { return r.compared.Load() && r.Mark().Number > 0 }
@@ -222,10 +221,11 @@
 	if state.Number > before {
 		jylog.NoteApplied.Log(state.Number, state.Digest, source)
 		r.config.OnState(state)
+		r.mark.Store(&jypeer.Mark{Number: state.Number, Digest: state.Digest})
 	}
 	r.mu.Unlock()
 	if state.Number > before {
-		r.announce(jypeer.Mark{Number: state.Number, Digest: state.Digest})
+		r.announce(r.Mark())
 	}
 }
 
--- /dev/null
+++ b/internal/jyrelease/release_test.go
@@ -0,0 +1,43 @@
+package jyrelease_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/jackdawyard/jackdawyard/internal/jyrelease"
+	"github.com/jackdawyard/jackdawyard/pkg/jymember"
+	"github.com/jackdawyard/jackdawyard/pkg/jynote"
+)
+
+// alone is a membership of one.
+type alone struct{}
+
+func (alone) Self() jymember.Member                                            { return jymember.Member{Name: "entry-1"} }
+func (alone) SyncList([]jymember.Seed)                                         {}
+func (alone) Others(int) []jymember.Member                                     { return nil }
+func (alone) Ranked(string, int, func(jymember.Member) bool) []jymember.Member { return nil }
+
+func TestTheMarkCanBeReadWhileAStateComesIntoForce(t *testing.T) {
+	var r *jyrelease.Release
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	r = jyrelease.New(jyrelease.Config{OnState: func(jynote.State) {
+		// The membership reads the mark under its own lock, for which coming into force may wait.
+		read := make(chan struct{})
+		go func() {
+			r.Mark()
+			close(read)
+		}()
+		select {
+		case <-read:
+		case <-ctx.Done():
+			t.Error("the mark waits for the state, which may wait for its reader")
+		}
+	}})
+	r.SetFleet(alone{})
+	r.Offer(1, []byte(`{"Number":1}`))
+	require.Equal(t, jynote.Number(1), r.Mark().Number)
+}
--- a/scenario/fleet_test.go
+++ b/scenario/fleet_test.go
@@ -191,7 +191,7 @@
 
 func (f *fleet) status(e *entry) (jynode.Status, bool) {
 	var s jynode.Status
-	resp, err := http.Get("http://" + e.operator + jynode.PathStatus)
+	resp, err := client.Get("http://" + e.operator + jynode.PathStatus)
 	if err != nil {
 		return s, false
 	}
@@ -219,6 +219,7 @@
 	body    []byte
 }
 
+// client gives up on an instance that hangs, so that a test fails in place of waiting for ever.
 var client = &http.Client{Timeout: patience, Transport: &http.Transport{MaxIdleConnsPerHost: 100}}
 
 func (f *fleet) send(e *entry, method, path, token, id, body string) reply {
