Let a server that drained come back, and prune what is withdrawn

Causes found by reading: - A server's drain mark was remembered for the life of the entry, so that one that started anew under its name got no work for good (TestAServerThatDrainedMayComeBackUnderItsName).

--- a/internal/jybackend/pool.go
+++ b/internal/jybackend/pool.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/jackdawyard/jackdawyard/pkg/jyfault"
 )
 
 // PoolConfig sets up a Pool.
@@ -73,12 +75,12 @@
 func (p *Pool) Open(ctx context.Context, now time.Time) (*Connection, error) {
 	const op = "open connection"
 	if !p.reserve() {
-		return nil, newError(op, Exhausted, "all connections to %s are in use", p.config.Address)
+		return nil, jyfault.New(op, Exhausted, "all connections to %s are in use", p.config.Address)
 	}
 	client, err := p.dialer().NewClientConn(ctx, "http", p.config.Address)
 	if err != nil {
 		p.unreserve()
-		return nil, newError(op, ConnectFailed, "%w", err)
+		return nil, jyfault.New(op, ConnectFailed, "%w", err)
 	}
 	return &Connection{client: client, proof: now}, nil
 }
--- a/internal/jybackend/server.go
+++ b/internal/jybackend/server.go
@@ -17,7 +17,7 @@
 	attempts atomic.Uint64
 	failures atomic.Uint64
 	slow     atomic.Uint64
-	draining atomic.Bool
+	drains   atomic.Int64 // until when it counts as leaving, in nanoseconds since the epoch
 	lost     atomic.Int32 // connections lost in a row
 	passOver atomic.Int64 // until when others are preferred, in nanoseconds since the epoch
 }
@@ -39,11 +39,15 @@
 	return jydetector.Counts{Attempts: s.attempts.Load(), Failures: failures, Slow: slow}
 }
 
-// MarkDraining records that the server said it is leaving.
-func (s *Server) MarkDraining() bool { return !s.draining.Swap(true) }
+// MarkDraining records that the server said it is leaving, and reports whether that is news.
+func (s *Server) MarkDraining(now time.Time) bool {
+	known := s.IsDraining(now)
+	s.drains.Store(now.Add(jydetector.DefaultDrainMemory).UnixNano())
+	return !known
+}
 
-// IsDraining reports whether the server said it is leaving.
-func (s *Server) IsDraining() bool { return s.draining.Load() }
+// IsDraining reports whether the server said lately that it is leaving; it may have started anew since.
+func (s *Server) IsDraining(now time.Time) bool { return now.UnixNano() < s.drains.Load() }
 
 // InFlight returns the requests of this instance that the server runs.
 func (s *Server) InFlight() int { return int(s.inFlight.Load()) }
--- /dev/null
+++ b/internal/jybackend/server_test.go
@@ -0,0 +1,21 @@
+package jybackend_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/jackdawyard/jackdawyard/internal/jybackend"
+	"github.com/jackdawyard/jackdawyard/pkg/jydetector"
+)
+
+func TestAServerThatDrainedMayComeBackUnderItsName(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	s := &jybackend.Server{}
+	assert.False(t, s.IsDraining(now))
+	assert.True(t, s.MarkDraining(now))
+	assert.False(t, s.MarkDraining(now.Add(time.Second)), "no news")
+	assert.True(t, s.IsDraining(now.Add(jydetector.DefaultDrainMemory)))
+	assert.False(t, s.IsDraining(now.Add(jydetector.DefaultDrainMemory+2*time.Second)))
+}
--- a/internal/jybackend/service.go
+++ b/internal/jybackend/service.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/jackdawyard/jackdawyard/pkg/jydetector"
+	"github.com/jackdawyard/jackdawyard/pkg/jyfault"
 	"github.com/jackdawyard/jackdawyard/pkg/jyfloor"
 	"github.com/jackdawyard/jackdawyard/pkg/jynote"
 	"github.com/jackdawyard/jackdawyard/pkg/jyretry"
@@ -85,7 +86,7 @@
 		}
 		s.inFlight.Add(-1)
 	}
-	return nil, newError("choose backend server", NoServer, "service %s", v.Info.Name)
+	return nil, jyfault.New("choose backend server", NoServer, "service %s", v.Info.Name)
 }
 
 // Release ends a request that Choose counted.
@@ -109,7 +110,7 @@
 }
 
 func (s seat) weight(now time.Time, idempotent bool) float64 {
-	if s.standing == jyfloor.Draining || s.server.IsDraining() {
+	if s.standing == jyfloor.Draining || s.server.IsDraining(now) {
 		return 0
 	}
 	if s.readmitted {
@@ -201,7 +202,7 @@
 func standingOf(s *Server, fleet, local []jydetector.Verdict) (seat, float64) {
 	out := seat{server: s}
 	score := 0.0
-	if s.IsDraining() {
+	if s.IsDraining(time.Now()) {
 		out.standing = jyfloor.Draining
 		return out, score
 	}
--- a/internal/jycapacity/page.go
+++ b/internal/jycapacity/page.go
@@ -6,6 +6,8 @@
 	"maps"
 	"slices"
 	"strings"
+
+	"github.com/jackdawyard/jackdawyard/pkg/jyfault"
 )
 
 // neededUnits are the units without which the page cannot be worked out.
@@ -19,7 +21,7 @@
 func WritePage(w io.Writer, s Slopes) error {
 	for _, name := range neededSlopes {
 		if _, ok := s[name]; !ok {
-			return newError("write capacity page", Missing, "no measurement of %q", name)
+			return jyfault.New("write capacity page", Missing, "no measurement of %q", name)
 		}
 	}
 	var b strings.Builder
--- a/internal/jycapacity/parse.go
+++ b/internal/jycapacity/parse.go
@@ -6,6 +6,8 @@
 	"regexp"
 	"strconv"
 	"strings"
+
+	"github.com/jackdawyard/jackdawyard/pkg/jyfault"
 )
 
 // Slopes holds the fitted slopes by name and unit, such as "heartbeat ns/op".
@@ -25,13 +27,13 @@
 		}
 		x, err := strconv.ParseFloat(m[2], 64)
 		if err != nil {
-			return nil, newError("parse benchmarks", Malformed, "%w", err)
+			return nil, jyfault.New("parse benchmarks", Malformed, "%w", err)
 		}
 		fields := strings.Fields(m[3])
 		for i := 0; i+1 < len(fields); i += 2 {
 			y, err := strconv.ParseFloat(fields[i], 64)
 			if err != nil {
-				return nil, newError("parse benchmarks", Malformed, "%w", err)
+				return nil, jyfault.New("parse benchmarks", Malformed, "%w", err)
 			}
 			key := m[1] + " " + fields[i+1]
 			points[key] = append(points[key], Point{X: x, Y: y})
@@ -39,7 +41,7 @@
 		}
 	}
 	if err := lines.Err(); err != nil {
-		return nil, newError("parse benchmarks", Malformed, "%w", err)
+		return nil, jyfault.New("parse benchmarks", Malformed, "%w", err)
 	}
 	out := Slopes{}
 	for key, list := range points {
--- a/internal/jydemo/demo.go
+++ b/internal/jydemo/demo.go
@@ -14,6 +14,7 @@
 	"github.com/jackdawyard/jackdawyard/internal/jysettings"
 	"github.com/jackdawyard/jackdawyard/internal/jystandin"
 	"github.com/jackdawyard/jackdawyard/pkg/jydetector"
+	"github.com/jackdawyard/jackdawyard/pkg/jyfault"
 	"github.com/jackdawyard/jackdawyard/pkg/jynote"
 )
 
@@ -129,7 +130,7 @@
 			return nil, err
 		}
 		if len(faults) > 0 {
-			return nil, newError("make settings", BadSettings, "%s", faults[0])
+			return nil, jyfault.New("make settings", BadSettings, "%s", faults[0])
 		}
 		out = append(out, s)
 		list.Instances = append(list.Instances, jyplatform.Instance{Name: s.Name, PeerAddress: s.PeerAddress, DataCentre: s.DataCentre, State: jyplatform.Live})
@@ -156,7 +157,7 @@
 		return true
 	})
 	if !inForce {
-		return newError("publish note", TimedOut, "note %d is not in force everywhere", n)
+		return jyfault.New("publish note", TimedOut, "note %d is not in force everywhere", n)
 	}
 	d.say("Release note %d is in force at all instances after %d ms.", n, time.Since(published).Milliseconds())
 	return nil
@@ -227,7 +228,7 @@
 	r.WriteText(d.out)
 	after, ok := <-found
 	if !ok {
-		return newError("eject server", TimedOut, "%s is not ejected everywhere", serverName(grayServer))
+		return jyfault.New("eject server", TimedOut, "%s is not ejected everywhere", serverName(grayServer))
 	}
 	d.say("It was ejected at all instances after %d ms.", after.Milliseconds())
 	return nil
--- a/internal/jyevidence/evidence.go
+++ b/internal/jyevidence/evidence.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -39,7 +40,8 @@
 	config  Config
 	urgent  *jyring.Ring[jynote.ServiceName]
 	sent    map[sentKey]jydetector.Counts
-	turn    int // of the services that are reported without urgency
+	number  jynote.Number // of the note for which the maps below hold entries
+	turn    int           // of the services that are reported without urgency
 	local   map[jynote.ServiceName]*jydetector.Detector
 	pool    *pool
 	changed *jyring.Ring[jynote.ServiceName] // services whose pooled verdicts changed
@@ -119,7 +121,9 @@
 
 // reportQuiet sends what is new of the services whose turn it is.
 func (e *Evidence) reportQuiet(ctx context.Context) {
-	services := e.config.Directory.Snapshot().Services()
+	snapshot := e.config.Directory.Snapshot()
+	e.forgetWithdrawn(snapshot)
+	services := snapshot.Services()
 	batches := map[jymember.Name]*batch{}
 	for range services {
 		if len(batches) == quietMessages {
@@ -131,6 +135,24 @@
 	e.sendAll(ctx, batches)
 }
 
+// forgetWithdrawn drops what is held of services and servers that are no longer in force.
+func (e *Evidence) forgetWithdrawn(snapshot *jybackend.Snapshot) {
+	if snapshot.State.Number == e.number {
+		return
+	}
+	e.number = snapshot.State.Number
+	inForce := map[sentKey]bool{}
+	for _, b := range snapshot.State.BackendServers {
+		inForce[sentKey{b.Service, jydetector.ServerName(b.Name)}] = true
+	}
+	maps.DeleteFunc(e.sent, func(k sentKey, _ jydetector.Counts) bool { return !inForce[k] })
+	withdrawn := func(name jynote.ServiceName) bool { return snapshot.Service(name) == nil }
+	maps.DeleteFunc(e.local, func(name jynote.ServiceName, _ *jydetector.Detector) bool { return withdrawn(name) })
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	maps.DeleteFunc(e.told, func(name jynote.ServiceName, _ statement) bool { return withdrawn(name) })
+}
+
 // collect adds what is new of a service to the batch for its pooling instance.
 func (e *Evidence) collect(batches map[jymember.Name]*batch, v *jybackend.Service) {
 	totals := e.totals(v)
@@ -149,16 +171,17 @@
 // totals returns the counts that changed since they were last sent.
 func (e *Evidence) totals(v *jybackend.Service) []jydetector.Totals {
 	var out []jydetector.Totals
+	at := time.Now()
 	for _, s := range v.Servers {
 		key := sentKey{v.Info.Name, jydetector.ServerName(s.Info.Name)}
 		now, base := s.Counts(), e.sent[key]
 		if now.Attempts < base.Attempts {
 			base = jydetector.Counts{} // the server was replaced under its name
 		}
-		if now == base && !s.IsDraining() {
+		if now == base && !s.IsDraining(at) {
 			continue
 		}
-		out = append(out, jydetector.Totals{Server: key.server, Base: base, Now: now, Draining: s.IsDraining()})
+		out = append(out, jydetector.Totals{Server: key.server, Base: base, Now: now, Draining: s.IsDraining(at)})
 		e.sent[key] = now
 	}
 	return out
--- a/internal/jykernel/kernel.go
+++ b/internal/jykernel/kernel.go
@@ -5,6 +5,8 @@
 	"errors"
 
 	"github.com/oklog/run"
+
+	"github.com/jackdawyard/jackdawyard/pkg/jyfault"
 )
 
 type entry struct {
@@ -24,7 +26,7 @@
 func (k *Kernel) Register(name Name, s Service) error {
 	for _, e := range k.entries {
 		if e.name == name {
-			return newError("register service", Duplicate, "%s", name)
+			return jyfault.New("register service", Duplicate, "%s", name)
 		}
 	}
 	k.entries = append(k.entries, entry{name: name, service: s})
@@ -40,11 +42,11 @@
 		}
 		s, ok := e.service.(T)
 		if !ok {
-			return zero, newError("find service", WrongType, "%s", name)
+			return zero, jyfault.New("find service", WrongType, "%s", name)
 		}
 		return s, nil
 	}
-	return zero, newError("find service", Missing, "%s", name)
+	return zero, jyfault.New("find service", Missing, "%s", name)
 }
 
 // Run runs all services until ctx ends or one of them returns, then stops the others and waits for them.
@@ -69,5 +71,5 @@
 	if err == nil || errors.Is(err, context.Canceled) {
 		return nil
 	}
-	return newError("run service", Failed, "%s: %w", name, err)
+	return jyfault.New("run service", Failed, "%s: %w", name, err)
 }
--- a/internal/jyload/audit.go
+++ b/internal/jyload/audit.go
@@ -7,6 +7,7 @@
 	"strings"
 
 	"github.com/jackdawyard/jackdawyard/internal/jystandin"
+	"github.com/jackdawyard/jackdawyard/pkg/jyfault"
 	"github.com/jackdawyard/jackdawyard/pkg/jyoutcome"
 )
 
@@ -48,15 +49,15 @@
 	var c jystandin.Counts
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+server+jystandin.CountsPath, nil)
 	if err != nil {
-		return c, newError(op, Unreachable, "%w", err)
+		return c, jyfault.New(op, Unreachable, "%w", err)
 	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return c, newError(op, Unreachable, "%w", err)
+		return c, jyfault.New(op, Unreachable, "%w", err)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if err := json.NewDecoder(resp.Body).Decode(&c); err != nil {
-		return c, newError(op, Unreachable, "%s: %w", server, err)
+		return c, jyfault.New(op, Unreachable, "%s: %w", server, err)
 	}
 	return c, nil
 }
--- a/internal/jynode/caller_server.go
+++ b/internal/jynode/caller_server.go
@@ -9,6 +9,7 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/jackdawyard/jackdawyard/internal/jyproxy"
+	"github.com/jackdawyard/jackdawyard/pkg/jyfault"
 )
 
 const (
@@ -25,7 +26,7 @@
 func newCallerServer(address string, p *jyproxy.Proxy) (*callerServer, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
-		return nil, newError("listen for callers", NoAddress, "%w", err)
+		return nil, jyfault.New("listen for callers", NoAddress, "%w", err)
 	}
 	e := echo.New()
 	e.HideBanner, e.HidePort = true, true
@@ -51,6 +52,6 @@
 			<-ctx.Done()
 			return nil
 		}
-		return newError("serve callers", NoAddress, "%w", err)
+		return jyfault.New("serve callers", NoAddress, "%w", err)
 	}
 }
--- a/internal/jynode/node.go
+++ b/internal/jynode/node.go
@@ -22,6 +22,7 @@
 	"github.com/jackdawyard/jackdawyard/internal/jyreport"
 	"github.com/jackdawyard/jackdawyard/internal/jysettings"
 	"github.com/jackdawyard/jackdawyard/pkg/jydedup"
+	"github.com/jackdawyard/jackdawyard/pkg/jyfault"
 	"github.com/jackdawyard/jackdawyard/pkg/jylimit"
 	"github.com/jackdawyard/jackdawyard/pkg/jymember"
 	"github.com/jackdawyard/jackdawyard/pkg/jynote"
@@ -93,7 +94,7 @@
 func (n *Node) makeLedger() error {
 	secret := make([]byte, secretBytes)
 	if _, err := rand.Read(secret); err != nil {
-		return newError("make instance", NoRandomness, "%w", err)
+		return jyfault.New("make instance", NoRandomness, "%w", err)
 	}
 	n.ledger = jyledger.New(jydedup.Config{
 		Self:           jydedup.Issuer{Instance: jydedup.InstanceName(n.settings.Name), Boot: jydedup.Boot(n.boot)},
--- a/internal/jynode/operator_server.go
+++ b/internal/jynode/operator_server.go
@@ -7,6 +7,8 @@
 	"net/http/pprof"
 
 	"github.com/labstack/echo/v4"
+
+	"github.com/jackdawyard/jackdawyard/pkg/jyfault"
 )
 
 // Paths of the operator's interface.
@@ -29,7 +31,7 @@
 func newOperatorServer(n *Node) (*operatorServer, error) {
 	listener, err := net.Listen("tcp", n.settings.OperatorAddress)
 	if err != nil {
-		return nil, newError("listen for operators", NoAddress, "%w", err)
+		return nil, jyfault.New("listen for operators", NoAddress, "%w", err)
 	}
 	e := echo.New()
 	e.HideBanner, e.HidePort = true, true
@@ -53,7 +55,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = o.http.Close() })
 	defer stop()
 	if err := o.http.Serve(o.listener); err != nil && ctx.Err() == nil {
-		return newError("serve operators", NoAddress, "%w", err)
+		return jyfault.New("serve operators", NoAddress, "%w", err)
 	}
 	return nil
 }
--- a/internal/jypeer/credentials.go
+++ b/internal/jypeer/credentials.go
@@ -12,6 +12,7 @@
 
 	"github.com/jackdawyard/jackdawyard/internal/jylog"
 	"github.com/jackdawyard/jackdawyard/internal/jysettings"
+	"github.com/jackdawyard/jackdawyard/pkg/jyfault"
 )
 
 // keyHeader carries the shared key.
@@ -32,15 +33,15 @@
 	}
 	pair, err := tls.LoadX509KeyPair(s.CertificateFile, s.PrivateKeyFile)
 	if err != nil {
-		return c, newError(op, BadKeys, "%w", err)
+		return c, jyfault.New(op, BadKeys, "%w", err)
 	}
 	raw, err := os.ReadFile(s.AuthorityFile)
 	if err != nil {
-		return c, newError(op, BadKeys, "%w", err)
+		return c, jyfault.New(op, BadKeys, "%w", err)
 	}
 	authority := x509.NewCertPool()
 	if !authority.AppendCertsFromPEM(raw) {
-		return c, newError(op, BadKeys, "no certificate in %s", s.AuthorityFile)
+		return c, jyfault.New(op, BadKeys, "no certificate in %s", s.AuthorityFile)
 	}
 	c.tls = &tls.Config{
 		Certificates: []tls.Certificate{pair},
--- a/internal/jypeer/server.go
+++ b/internal/jypeer/server.go
@@ -10,6 +10,7 @@
 	"connectrpc.com/connect"
 
 	"github.com/jackdawyard/jackdawyard/internal/jywire/jywireconnect"
+	"github.com/jackdawyard/jackdawyard/pkg/jyfault"
 )
 
 const headerTimeout = 10 * time.Second
@@ -24,7 +25,7 @@
 func Listen(address string, c Credentials, h jywireconnect.PeerServiceHandler) (*Server, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
-		return nil, newError("listen for peers", Unreachable, "%w", err)
+		return nil, jyfault.New("listen for peers", Unreachable, "%w", err)
 	}
 	path, handler := jywireconnect.NewPeerServiceHandler(h,
 		connect.WithInterceptors(c.interceptor()),
@@ -48,7 +49,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = s.http.Close() })
 	defer stop()
 	if err := s.http.Serve(s.listener); err != nil && ctx.Err() == nil {
-		return newError("serve peers", Unreachable, "%w", err)
+		return jyfault.New("serve peers", Unreachable, "%w", err)
 	}
 	return nil
 }
--- a/internal/jyplatform/client.go
+++ b/internal/jyplatform/client.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"github.com/jackdawyard/jackdawyard/pkg/jyfault"
 	"github.com/jackdawyard/jackdawyard/pkg/jynote"
 )
 
@@ -42,7 +43,7 @@
 		return h, err
 	}
 	if err := json.Unmarshal(raw, &h); err != nil {
-		return h, newError("read head", Malformed, "%w", err)
+		return h, jyfault.New("read head", Malformed, "%w", err)
 	}
 	return h, nil
 }
@@ -64,7 +65,7 @@
 		return l, err
 	}
 	if err := json.Unmarshal(raw, &l); err != nil {
-		return l, newError("read instances", Malformed, "%w", err)
+		return l, jyfault.New("read instances", Malformed, "%w", err)
 	}
 	return l, nil
 }
@@ -73,22 +74,22 @@
 	const op = "read platform"
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+path, nil)
 	if err != nil {
-		return nil, newError(op, Malformed, "%w", err)
+		return nil, jyfault.New(op, Malformed, "%w", err)
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return nil, newError(op, Unreachable, "%w", err)
+		return nil, jyfault.New(op, Unreachable, "%w", err)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	raw, err := io.ReadAll(io.LimitReader(resp.Body, jynote.MaxNoteBytes+1))
 	if err != nil {
-		return nil, newError(op, Unreachable, "%w", err)
+		return nil, jyfault.New(op, Unreachable, "%w", err)
 	}
 	if resp.StatusCode == http.StatusNotFound {
-		return nil, newError(op, Missing, "%s", path)
+		return nil, jyfault.New(op, Missing, "%s", path)
 	}
 	if resp.StatusCode != http.StatusOK {
-		return nil, newError(op, Unreachable, "status %d", resp.StatusCode)
+		return nil, jyfault.New(op, Unreachable, "status %d", resp.StatusCode)
 	}
 	return raw, nil
 }
--- a/internal/jyproxy/answer.go
+++ b/internal/jyproxy/answer.go
@@ -29,7 +29,7 @@
 	copyHeaders(h, a.header)
 	h.Set(jyoutcome.Header, string(jyoutcome.Complete))
 	if a.rest == nil {
-		if !head {
+		if !head && allowsBody(a.status) {
 			h.Set("Content-Length", strconv.Itoa(len(a.body)))
 		}
 		w.WriteHeader(a.status)
@@ -49,6 +49,11 @@
 	}
 }
 
+// allowsBody reports whether answers of this status have a body.
+func allowsBody(status int) bool {
+	return status != http.StatusNoContent && status != http.StatusNotModified
+}
+
 // discard ends an answer that the caller does not get.
 func (a *answer) discard() {
 	if a.rest != nil {
--- a/internal/jyproxy/attempt.go
+++ b/internal/jyproxy/attempt.go
@@ -152,7 +152,7 @@
 }
 
 func (a *attempt) noteMarks(resp *http.Response) {
-	if a.request.match.Service.DrainMark.Matches(resp.StatusCode, resp.Header.Get) && a.server.MarkDraining() {
+	if a.request.match.Service.DrainMark.Matches(resp.StatusCode, resp.Header.Get) && a.server.MarkDraining(time.Now()) {
 		a.forwarder.config.OnEvidence(a.request.match.Service.Name)
 	}
 }
--- a/internal/jyproxy/headers.go
+++ b/internal/jyproxy/headers.go
@@ -11,12 +11,12 @@
 	HeaderIdempotencyKey = "Idempotency-Key"
 	HeaderNextRequestID  = "Jackdawyard-Next-Request-Id"
 	HeaderRemaining      = "Jackdawyard-Remaining-Milliseconds"
-	HeaderReplayed       = "Jackdawyard-Replayed"
+	HeaderForwardedFor   = "X-Forwarded-For"
 )
 
 var hopByHop = []string{
 	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
 }
 
 // copyHeaders adds the end-to-end headers of src to dst.
--- a/internal/jyproxy/proxy.go
+++ b/internal/jyproxy/proxy.go
@@ -52,9 +52,10 @@
 func (p *Proxy) ServeHTTP(w http.ResponseWriter, in *http.Request) {
 	p.inProgress.Add(1)
 	defer p.inProgress.Add(-1)
+	remote, _, _ := net.SplitHostPort(in.RemoteAddr)
 	r := &request{
 		method: in.Method, uri: in.URL.RequestURI(), host: in.Host, header: in.Header,
-		caller: p.callerOf(in), arrived: time.Now(),
+		caller: p.callerOf(in, remote), remote: remote, arrived: time.Now(),
 	}
 	if refusal := p.admit(r); refusal != nil {
 		_ = refusal.Write(w)
@@ -77,10 +78,10 @@
 }
 
 // callerOf returns a digest, so that no credential is kept or passed on between instances.
-func (p *Proxy) callerOf(in *http.Request) string {
+func (p *Proxy) callerOf(in *http.Request, remote string) string {
 	name := in.Header.Get(p.config.CallerHeader)
 	if name == "" {
-		name, _, _ = net.SplitHostPort(in.RemoteAddr)
+		name = remote
 	}
 	sum := sha256.Sum256([]byte(name))
 	return hex.EncodeToString(sum[:16])
--- a/internal/jyproxy/request.go
+++ b/internal/jyproxy/request.go
@@ -11,6 +11,7 @@
 
 	"github.com/jackdawyard/jackdawyard/internal/jybackend"
 	"github.com/jackdawyard/jackdawyard/pkg/jydedup"
+	"github.com/jackdawyard/jackdawyard/pkg/jyfault"
 	"github.com/jackdawyard/jackdawyard/pkg/jyoutcome"
 	"github.com/jackdawyard/jackdawyard/pkg/jyroute"
 )
@@ -31,6 +32,7 @@
 	stream     io.Reader // a body too large to keep
 	length     int64
 	caller     string
+	remote     string // the IP number that the request came from; empty if it was relayed
 	match      jyroute.Match
 	service    *jybackend.Service
 	arrived    time.Time
@@ -57,12 +59,15 @@
 func (r *request) outgoing(ctx context.Context, address string, now time.Time) (*http.Request, error) {
 	out, err := http.NewRequestWithContext(ctx, r.method, "http://"+address+r.uri, r.bodyReader())
 	if err != nil {
-		return nil, newError("make request", Malformed, "%w", err)
+		return nil, jyfault.New("make request", Malformed, "%w", err)
 	}
 	out.ContentLength = r.length
 	out.Host = r.host
 	out.Header = make(http.Header, len(r.header)+1)
 	copyHeaders(out.Header, r.header)
+	if r.remote != "" {
+		out.Header.Add(HeaderForwardedFor, r.remote)
+	}
 	out.Header.Set(HeaderRemaining, strconv.FormatInt(r.deadline.Sub(now).Milliseconds(), 10))
 	return out, nil
 }
--- a/internal/jyrelay/relay.go
+++ b/internal/jyrelay/relay.go
@@ -13,6 +13,7 @@
 	"github.com/jackdawyard/jackdawyard/internal/jyproxy"
 	"github.com/jackdawyard/jackdawyard/internal/jywire"
 	"github.com/jackdawyard/jackdawyard/pkg/jydedup"
+	"github.com/jackdawyard/jackdawyard/pkg/jyfault"
 	"github.com/jackdawyard/jackdawyard/pkg/jymember"
 	"github.com/jackdawyard/jackdawyard/pkg/jyoutcome"
 )
@@ -66,14 +67,14 @@
 	run := jymember.Run{Name: jymember.Name(in.ID.Issuer.Instance), Boot: jymember.Boot(in.ID.Issuer.Boot)}
 	holder, ok := r.config.Fleet.Holder(run)
 	if !ok || holder.Address == "" || holder.Name == r.config.Fleet.Self().Name {
-		return jydedup.Result{}, newError(op, NoHolder, "%s", in.ID.Issuer.Instance)
+		return jydedup.Result{}, jyfault.New(op, NoHolder, "%s", in.ID.Issuer.Instance)
 	}
 	resp, err := r.config.Clients.At(holder.Address).Relay(ctx, connect.NewRequest(&jywire.RelayRequest{
 		Id: jypeer.IDToWire(in.ID), Caller: string(in.Caller), Method: in.Method, Uri: in.URI, Host: in.Host,
 		Headers: jypeer.HeadersToWire(in.Header), Body: in.Body, RemainingMilliseconds: in.Remaining.Milliseconds(),
 	}))
 	if err != nil {
-		return jydedup.Result{}, newError(op, Unreachable, "%w", err)
+		return jydedup.Result{}, jyfault.New(op, Unreachable, "%w", err)
 	}
 	result := jypeer.ResultFromWire(resp.Msg.GetResult())
 	if result.Outcome != jyoutcome.Complete && result.Outcome != jyoutcome.NotRun {
@@ -100,7 +101,7 @@
 	const op = "hand request ids over"
 	list, err := r.config.Ledger.Export()
 	if err != nil {
-		return nil, newError(op, NotSealed, "%w", err)
+		return nil, jyfault.New(op, NotSealed, "%w", err)
 	}
 	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
 	defer cancel()
@@ -114,10 +115,10 @@
 			return run, nil
 		}
 		if connect.CodeOf(err) != connect.CodeFailedPrecondition {
-			return run, newError(op, Unreachable, "%w", err)
+			return run, jyfault.New(op, Unreachable, "%w", err)
 		}
 	}
-	return nil, newError(op, NoHolder, "no other instance takes them")
+	return nil, jyfault.New(op, NoHolder, "no other instance takes them")
 }
 
 // handTo offers the ids to one successor; it refuses before it takes any.
@@ -127,7 +128,7 @@
 	for _, h := range list {
 		run, err := r.handParts(ctx, m, h)
 		if err != nil && successor != nil {
-			return successor, newError("hand request ids over", Unreachable, "after the first issuer: %v", err)
+			return successor, jyfault.New("hand request ids over", Unreachable, "after the first issuer: %v", err)
 		}
 		if err != nil {
 			return nil, err
@@ -191,7 +192,7 @@
 	if w.GetPart() > 0 {
 		p := r.parts[h.Issuer]
 		if p.next != w.GetPart() {
-			return h, false, newError("take request ids over", MissingPart, "part %d came in place of %d", w.GetPart(), p.next)
+			return h, false, jyfault.New("take request ids over", MissingPart, "part %d came in place of %d", w.GetPart(), p.next)
 		}
 		h.Records = append(p.joined.Records, h.Records...)
 	}
--- a/internal/jysettings/load.go
+++ b/internal/jysettings/load.go
@@ -7,6 +7,8 @@
 	"strings"
 
 	"gopkg.in/ini.v1"
+
+	"github.com/jackdawyard/jackdawyard/pkg/jyfault"
 )
 
 // Fault is one thing wrong with a settings file; Line is 0 where a key is missing.
@@ -27,7 +29,7 @@
 func Load(path string) (Settings, []Fault, error) {
 	raw, err := os.ReadFile(path)
 	if err != nil {
-		return Settings{}, nil, newError("load settings", Unreadable, "%w", err)
+		return Settings{}, nil, jyfault.New("load settings", Unreadable, "%w", err)
 	}
 	return Parse(raw)
 }
@@ -36,7 +38,7 @@
 func Parse(raw []byte) (Settings, []Fault, error) {
 	file, err := ini.LoadSources(ini.LoadOptions{AllowShadows: true, SkipUnrecognizableLines: false}, raw)
 	if err != nil {
-		return Settings{}, nil, newError("parse settings", Malformed, "%w", err)
+		return Settings{}, nil, jyfault.New("parse settings", Malformed, "%w", err)
 	}
 	lines := lineNumbers(string(raw))
 	var s Settings
--- a/internal/jystandin/address.go
+++ b/internal/jystandin/address.go
@@ -5,6 +5,8 @@
 	"net"
 	"os"
 	"sync/atomic"
+
+	"github.com/jackdawyard/jackdawyard/pkg/jyfault"
 )
 
 // Range of the ports that FreeAddress hands out; it lies below the ports that systems give to outgoing connections.
@@ -26,9 +28,9 @@
 			continue
 		}
 		if err := l.Close(); err != nil {
-			return "", newError("find address", Unreachable, "%w", err)
+			return "", jyfault.New("find address", Unreachable, "%w", err)
 		}
 		return l.Addr().String(), nil
 	}
-	return "", newError("find address", Unreachable, "no free port")
+	return "", jyfault.New("find address", Unreachable, "no free port")
 }
--- a/internal/jystandin/backend_server.go
+++ b/internal/jystandin/backend_server.go
@@ -17,6 +17,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/jackdawyard/jackdawyard/pkg/jyfault"
 )
 
 // ServerConfig sets up a BackendServer.
@@ -66,12 +68,12 @@
 	}
 	listener, err := net.Listen("tcp", b.config.Address)
 	if err != nil {
-		return newError("run backend server", Unreachable, "%w", err)
+		return jyfault.New("run backend server", Unreachable, "%w", err)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
 	if err := server.Serve(listener); err != nil && ctx.Err() == nil {
-		return newError("run backend server", Unreachable, "%w", err)
+		return jyfault.New("run backend server", Unreachable, "%w", err)
 	}
 	return nil
 }
--- a/internal/jystandin/balancer.go
+++ b/internal/jystandin/balancer.go
@@ -9,6 +9,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/jackdawyard/jackdawyard/pkg/jyfault"
 )
 
 const (
@@ -35,7 +37,7 @@
 	for _, p := range pairs {
 		caller, operator, ok := strings.Cut(p, "/")
 		if !ok {
-			return nil, newError("make balancer", Malformed, "%q is no pair of addresses", p)
+			return nil, jyfault.New("make balancer", Malformed, "%q is no pair of addresses", p)
 		}
 		b.instances = append(b.instances, &balanced{caller: caller, operator: operator})
 	}
@@ -46,7 +48,7 @@
 func (b *Balancer) Run(ctx context.Context) error {
 	listener, err := net.Listen("tcp", b.address)
 	if err != nil {
-		return newError("run balancer", Unreachable, "%w", err)
+		return jyfault.New("run balancer", Unreachable, "%w", err)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
 	defer stop()
@@ -61,7 +63,7 @@
 			if ctx.Err() != nil {
 				return nil
 			}
-			return newError("run balancer", Unreachable, "%w", err)
+			return jyfault.New("run balancer", Unreachable, "%w", err)
 		}
 		go b.pass(c)
 	}
--- a/internal/jystandin/platform.go
+++ b/internal/jystandin/platform.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/jackdawyard/jackdawyard/internal/jyplatform"
+	"github.com/jackdawyard/jackdawyard/pkg/jyfault"
 	"github.com/jackdawyard/jackdawyard/pkg/jynote"
 )
 
@@ -51,13 +52,13 @@
 func (p *Platform) Run(ctx context.Context) error {
 	listener, err := net.Listen("tcp", p.address)
 	if err != nil {
-		return newError("run platform", Unreachable, "%w", err)
+		return jyfault.New("run platform", Unreachable, "%w", err)
 	}
 	server := &http.Server{Handler: p, ReadHeaderTimeout: time.Minute}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
 	if err := server.Serve(listener); err != nil && ctx.Err() == nil {
-		return newError("run platform", Unreachable, "%w", err)
+		return jyfault.New("run platform", Unreachable, "%w", err)
 	}
 	return nil
 }
@@ -236,11 +237,11 @@
 	const op = "load instances"
 	raw, err := os.ReadFile(file)
 	if err != nil {
-		return newError(op, Malformed, "%w", err)
+		return jyfault.New(op, Malformed, "%w", err)
 	}
 	var l jyplatform.InstanceList
 	if err := json.Unmarshal(raw, &l); err != nil {
-		return newError(op, Malformed, "%s: %w", file, err)
+		return jyfault.New(op, Malformed, "%s: %w", file, err)
 	}
 	p.SetInstances(l)
 	return nil
--- a/pkg/jydedup/hand_over.go
+++ b/pkg/jydedup/hand_over.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/jackdawyard/jackdawyard/pkg/jyfault"
 )
 
 // HandOver carries the ids of one issuer from a process that shuts down to its successor.
@@ -42,10 +44,10 @@
 func (l *Ledger) Export(now time.Time) ([]HandOver, error) {
 	const op = "export request ids"
 	if !l.sealed {
-		return nil, newError(op, Misused, "the ledger is not sealed")
+		return nil, jyfault.New(op, Misused, "the ledger is not sealed")
 	}
 	if n := l.Running(); n > 0 {
-		return nil, newError(op, Misused, "%d requests still run", n)
+		return nil, jyfault.New(op, Misused, "%d requests still run", n)
 	}
 	list := make([]HandOver, 0, len(l.estates))
 	for _, e := range l.estates {
@@ -72,10 +74,10 @@
 func (l *Ledger) Take(now time.Time, h HandOver) error {
 	const op = "take request ids over"
 	if l.sealed {
-		return newError(op, Misused, "this ledger is sealed itself")
+		return jyfault.New(op, Misused, "this ledger is sealed itself")
 	}
 	if l.estates[h.Issuer] != nil {
-		return newError(op, Misused, "ids of %s are decided here already", h.Issuer.Instance)
+		return jyfault.New(op, Misused, "ids of %s are decided here already", h.Issuer.Instance)
 	}
 	e := &estate{issuer: h.Issuer, secret: h.Secret, origin: now.Add(-h.Elapsed), handed: h.Elapsed, used: map[uint64]*record{}}
 	for _, h := range h.Records {
--- a/pkg/jydedup/id.go
+++ b/pkg/jydedup/id.go
@@ -5,6 +5,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/jackdawyard/jackdawyard/pkg/jyfault"
 )
 
 // InstanceName identifies an instance.
@@ -51,19 +53,19 @@
 	const op = "parse request id"
 	parts := strings.Split(text, "~")
 	if len(parts) != idParts {
-		return ID{}, newError(op, Malformed, "%d parts, not %d", len(parts), idParts)
+		return ID{}, jyfault.New(op, Malformed, "%d parts, not %d", len(parts), idParts)
 	}
 	boot, err := strconv.ParseUint(parts[1], 16, 64)
 	if err != nil {
-		return ID{}, newError(op, Malformed, "boot: %w", err)
+		return ID{}, jyfault.New(op, Malformed, "boot: %w", err)
 	}
 	sequence, err := strconv.ParseUint(parts[2], 16, 64)
 	if err != nil {
-		return ID{}, newError(op, Malformed, "sequence: %w", err)
+		return ID{}, jyfault.New(op, Malformed, "sequence: %w", err)
 	}
 	age, err := strconv.ParseUint(parts[3], 16, 40)
 	if err != nil {
-		return ID{}, newError(op, Malformed, "age: %w", err)
+		return ID{}, jyfault.New(op, Malformed, "age: %w", err)
 	}
 	id := ID{
 		Issuer:   Issuer{Instance: InstanceName(parts[0]), Boot: Boot(boot)},
@@ -72,7 +74,7 @@
 	}
 	tag, err := hex.DecodeString(parts[4])
 	if err != nil || len(tag) != len(id.Tag) {
-		return ID{}, newError(op, Malformed, "tag")
+		return ID{}, jyfault.New(op, Malformed, "tag")
 	}
 	copy(id.Tag[:], tag)
 	return id, nil
--- a/pkg/jydedup/ledger.go
+++ b/pkg/jydedup/ledger.go
@@ -6,6 +6,7 @@
 	"encoding/binary"
 	"time"
 
+	"github.com/jackdawyard/jackdawyard/pkg/jyfault"
 	"github.com/jackdawyard/jackdawyard/pkg/jyoutcome"
 )
 
@@ -164,7 +165,7 @@
 func (l *Ledger) Finish(id ID, result Result) error {
 	e := l.estates[id.Issuer]
 	if e == nil || e.used[id.Sequence] == nil || !e.used[id.Sequence].running {
-		return newError("finish request", Misused, "id %d of %s does not run here", id.Sequence, id.Issuer.Instance)
+		return jyfault.New("finish request", Misused, "id %d of %s does not run here", id.Sequence, id.Issuer.Instance)
 	}
 	r := e.used[id.Sequence]
 	r.running = false
--- a/pkg/jynote/errors.go
+++ b/pkg/jynote/errors.go
@@ -14,7 +14,3 @@
 
 // Error is the error type of this package.
 type Error = jyfault.Error[ErrorKind]
-
-func newError(op string, k ErrorKind, format string, args ...any) *Error {
-	return jyfault.New(op, k, format, args...)
-}
--- a/pkg/jynote/note.go
+++ b/pkg/jynote/note.go
@@ -5,6 +5,8 @@
 	"crypto/sha256"
 	"encoding/json"
 	"io"
+
+	"github.com/jackdawyard/jackdawyard/pkg/jyfault"
 )
 
 // MaxNoteBytes is the size of the largest value that the configuration service holds.
@@ -40,15 +42,15 @@
 	const op = "parse release note"
 	var n Note
 	if len(raw) > MaxNoteBytes {
-		return n, newError(op, Malformed, "%d bytes, at most %d allowed", len(raw), MaxNoteBytes)
+		return n, jyfault.New(op, Malformed, "%d bytes, at most %d allowed", len(raw), MaxNoteBytes)
 	}
 	d := json.NewDecoder(bytes.NewReader(raw))
 	d.DisallowUnknownFields()
 	if err := d.Decode(&n); err != nil {
-		return n, newError(op, Malformed, "%w", err)
+		return n, jyfault.New(op, Malformed, "%w", err)
 	}
 	if _, err := d.Token(); err != io.EOF {
-		return n, newError(op, Malformed, "text after the document")
+		return n, jyfault.New(op, Malformed, "text after the document")
 	}
 	return n, nil
 }
--- a/pkg/jynote/sequence.go
+++ b/pkg/jynote/sequence.go
@@ -1,6 +1,10 @@
 package jynote
 
-import "slices"
+import (
+	"slices"
+
+	"github.com/jackdawyard/jackdawyard/pkg/jyfault"
+)
 
 // Verdict says what became of a note that was offered to a Sequence.
 type Verdict string
@@ -112,7 +116,7 @@
 		return Known, nil
 	}
 	if ok {
-		err := newError("offer release note", OutOfOrder, "number %d was published with content %s before, and now with %s", n, seen, d)
+		err := jyfault.New("offer release note", OutOfOrder, "number %d was published with content %s before, and now with %s", n, seen, d)
 		s.conflicts = remember(s.conflicts, Refusal{Number: n, Digest: d, Verdict: Conflict, Reason: err.Error()})
 		return Conflict, err
 	}
@@ -124,7 +128,7 @@
 
 func (s *Sequence) wait(n Number, raw []byte) (Verdict, error) {
 	if len(s.waiting) >= MaxWaitingNotes {
-		return Waiting, newError("offer release note", OutOfOrder, "%d notes wait for number %d already", len(s.waiting), s.state.Number+1)
+		return Waiting, jyfault.New("offer release note", OutOfOrder, "%d notes wait for number %d already", len(s.waiting), s.state.Number+1)
 	}
 	s.note(n, DigestOf(raw))
 	s.waiting[n] = slices.Clone(raw)
@@ -154,11 +158,11 @@
 		return s, err
 	}
 	if note.Number != n {
-		return s, newError("apply release note", Invalid, "the note says number %d and was published under %d", note.Number, n)
+		return s, jyfault.New("apply release note", Invalid, "the note says number %d and was published under %d", note.Number, n)
 	}
 	next, fs := Apply(s, note, raw)
 	if len(fs) > 0 {
-		return s, newError("apply release note", Invalid, "%w", fs)
+		return s, jyfault.New("apply release note", Invalid, "%w", fs)
 	}
 	return next, nil
 }
--- a/pkg/jynote/state.go
+++ b/pkg/jynote/state.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"slices"
 	"strings"
+
+	"github.com/jackdawyard/jackdawyard/pkg/jyfault"
 )
 
 // State is what the release notes up to Number lead to; its lists are sorted by name and must not be modified.
@@ -27,7 +29,7 @@
 func DecodeState(raw []byte) (State, error) {
 	var s State
 	if err := json.Unmarshal(raw, &s); err != nil {
-		return State{}, newError("decode state", Malformed, "%w", err)
+		return State{}, jyfault.New("decode state", Malformed, "%w", err)
 	}
 	return s, nil
 }
