--- a/internal/jyproxy/attempt.go
+++ b/internal/jyproxy/attempt.go
@@ -19,18 +19,19 @@
 	request   *request
 	server    *jybackend.Server
 	started   time.Time
-	cancel    context.CancelFunc
+	cancel    context.CancelFunc // of the copy that is answered
 }
 
 // run sends the request and returns the answer, or what became of it; it ends the attempt unless the answer still streams.
 func (a *attempt) run(ctx context.Context) (*answer, *jyretry.Failure) {
 	a.started = time.Now()
-	ctx, a.cancel = context.WithCancel(ctx)
-	conn, err := a.connect(ctx)
+	first, cancel := context.WithCancel(ctx)
+	a.cancel = cancel
+	conn, err := a.connect(first)
 	if err != nil {
 		return nil, a.notConnected(ctx, err)
 	}
-	x, err := a.exchange(ctx, conn)
+	x, err := a.exchange(ctx, first, conn)
 	if err != nil {
 		return nil, a.lost(ctx, conn, err)
 	}
@@ -40,7 +41,7 @@
 func (a *attempt) connect(ctx context.Context) (*jybackend.Connection, error) {
 	proofAfter := time.Time{}
 	if !a.request.match.Idempotent {
-		proofAfter = a.started.Add(-a.forwarder.config.IdleProofOfLife)
+		proofAfter = a.forwarder.proofAfter(a.started)
 	}
 	return a.server.Pool.Get(ctx, a.started, proofAfter)
 }
--- a/internal/jyproxy/exchange.go
+++ b/internal/jyproxy/exchange.go
@@ -18,14 +18,14 @@
 	response   *http.Response
 }
 
-// exchange sends the request on conn; an idempotent one that stays unanswered for longer than the service's usual
-// latency is tried on a new connection too, and if only that one answers, the first is dropped as silent.
-func (a *attempt) exchange(ctx context.Context, conn *jybackend.Connection) (exchange, error) {
+// exchange sends the request on conn under the context first; an idempotent one that stays unanswered for longer than the
+// service's usual latency is tried on a new connection too, under ctx, and if only that one answers, the first is dropped
+// as silent.
+func (a *attempt) exchange(ctx, first context.Context, conn *jybackend.Connection) (exchange, error) {
 	if !a.request.match.Idempotent || !conn.Reused || !a.request.replayable() {
-		return a.roundTrip(ctx, conn)
+		return a.roundTrip(first, conn)
 	}
-	first, cancelFirst := context.WithCancel(ctx)
-	h := &hedge{attempt: a, cancelFirst: cancelFirst, done: make(chan struct{})}
+	h := &hedge{attempt: a, cancelFirst: a.cancel, done: make(chan struct{})}
 	timer := time.AfterFunc(a.request.service.TailLatency()+a.forwarder.config.SilentConnectionLag, func() { h.run(ctx) })
 	x, err := a.roundTrip(first, conn)
 	if timer.Stop() {
@@ -116,6 +116,8 @@
 		h.attempt.server.Pool.Drop(x.connection)
 	}
 	jylog.ConnectionQuiet.Log(h.attempt.server.Info.Name)
+	h.attempt.forwarder.quietAt.Store(time.Now().UnixNano())
+	h.attempt.cancel = h.cancel
 	return h.result, nil
 }
 
--- a/internal/jyproxy/forwarder.go
+++ b/internal/jyproxy/forwarder.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/jackdawyard/jackdawyard/internal/jybackend"
@@ -32,6 +33,8 @@
 // Forwarder sends requests to backend servers.
 type Forwarder struct {
 	config ForwarderConfig
+	// quietAt is when a connection was last found silent, in nanoseconds since the epoch: others may have gone silent with it.
+	quietAt atomic.Int64
 }
 
 // NewForwarder returns a forwarder.
@@ -128,6 +131,15 @@
 	return jyoutcome.NoBackendServer
 }
 
+// proofAfter returns since when a connection must have shown life to carry a non-idempotent request.
+func (f *Forwarder) proofAfter(now time.Time) time.Time {
+	recent := now.Add(-f.config.IdleProofOfLife)
+	if quiet := time.Unix(0, f.quietAt.Load()); quiet.After(recent) {
+		return quiet
+	}
+	return recent
+}
+
 // statusFor returns the HTTP status of a refusal by reason alone, for results that were remembered.
 func statusFor(o jyoutcome.Outcome, r jyoutcome.Reason) int {
 	switch r {
--- /dev/null
+++ b/internal/jyproxy/proxy_test.go
@@ -0,0 +1,123 @@
+package jyproxy_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/jackdawyard/jackdawyard/internal/jybackend"
+	"github.com/jackdawyard/jackdawyard/internal/jyledger"
+	"github.com/jackdawyard/jackdawyard/internal/jyproxy"
+	"github.com/jackdawyard/jackdawyard/pkg/jyblock"
+	"github.com/jackdawyard/jackdawyard/pkg/jydedup"
+	"github.com/jackdawyard/jackdawyard/pkg/jylimit"
+	"github.com/jackdawyard/jackdawyard/pkg/jynote"
+	"github.com/jackdawyard/jackdawyard/pkg/jyoutcome"
+)
+
+// nothing stands in for what a lone instance does not need.
+type nothing struct{}
+
+func (nothing) Record(jynote.ServiceName, jyoutcome.Outcome, int, time.Duration) {}
+func (nothing) IsEmpty() bool                                                    { return true }
+func (nothing) IsBlocked(jyblock.Fingerprint) bool                               { return false }
+func (nothing) Completed(jyblock.Fingerprint)                                    {}
+func (nothing) Crashed(jyblock.Fingerprint, jyblock.ServerName, bool)            {}
+func (nothing) Relay(context.Context, jyproxy.Relay) (jydedup.Result, error) {
+	return jydedup.Result{}, io.ErrUnexpectedEOF
+}
+
+// start returns the address of an instance before one backend server.
+func start(t testing.TB, backend http.HandlerFunc) (proxy, direct string) {
+	server := httptest.NewServer(backend)
+	t.Cleanup(server.Close)
+	d := jybackend.NewDirectory(jybackend.Config{
+		ConnectTimeout: time.Second, MaxIdle: time.Minute, RetryBudgetShare: 0.2, Instance: "entry-1",
+		Instances: func() int { return 1 }, IsNear: func(jynote.DataCentreName) bool { return true },
+	})
+	d.Apply(jynote.State{
+		Number:   1,
+		Services: []jynote.Service{{Name: "s", DeadlineMilliseconds: 5000, MaxBodyBytes: 1 << 20, ServerDaysPerFalseEjection: 100}},
+		BackendServers: []jynote.BackendServer{{
+			Name: "b", Service: "s", Address: strings.TrimPrefix(server.URL, "http://"), DataCentre: "d", Slots: 64, Connections: 300,
+		}},
+		Routes: []jynote.Route{{Name: "r", PathPrefix: "/", Service: "s"}},
+	})
+	p := jyproxy.New(jyproxy.Config{
+		Directory: d,
+		Forwarder: jyproxy.NewForwarder(jyproxy.ForwarderConfig{
+			IdleProofOfLife: time.Second, SilentConnectionLag: time.Second, OnEvidence: func(jynote.ServiceName) {}, Block: nothing{},
+		}),
+		Ledger: jyledger.New(jydedup.Config{
+			Self: jydedup.Issuer{Instance: "entry-1", Boot: 1}, Secret: []byte("secret"), Boot: time.Now(),
+			Lifetime: time.Minute, Retention: time.Minute, MaxRecords: 1000, MaxReplayBytes: 1000, MaxKeptBytes: 1 << 20,
+		}),
+		Relayer: nothing{}, Recorder: nothing{},
+		Limits:       jyproxy.NewLimits(jylimit.Config{Rate: 1e6, Burst: 1e6, Concurrency: 1000, MaxCallers: 1000}),
+		CallerHeader: "Authorization", MaxConcurrent: 1000, MaxAnswerBytes: 1 << 20,
+	})
+	front := httptest.NewServer(p)
+	t.Cleanup(front.Close)
+	return front.URL, server.URL
+}
+
+func TestWhatABackendServerSees(t *testing.T) {
+	var seen http.Header
+	proxy, _ := start(t, func(w http.ResponseWriter, r *http.Request) {
+		seen = r.Header
+		w.Header().Set("Connection", "X-Private")
+		w.Header().Set("X-Private", "yes")
+		w.WriteHeader(http.StatusNoContent)
+	})
+	req, err := http.NewRequest(http.MethodGet, proxy+"/x", nil)
+	require.NoError(t, err)
+	req.Header.Set("Connection", "X-Hop")
+	req.Header.Set("X-Hop", "yes")
+	req.Header.Set("X-Through", "yes")
+	resp, err := http.DefaultClient.Do(req)
+	require.NoError(t, err)
+	require.NoError(t, resp.Body.Close())
+	assert.Equal(t, http.StatusNoContent, resp.StatusCode)
+	assert.Empty(t, resp.Header.Get("X-Private"))
+	assert.Empty(t, resp.Header.Get("Content-Length"))
+	assert.Empty(t, seen.Get("X-Hop"))
+	assert.Equal(t, "yes", seen.Get("X-Through"))
+	assert.Equal(t, "127.0.0.1", seen.Get(jyproxy.HeaderForwardedFor))
+	assert.NotEmpty(t, seen.Get(jyproxy.HeaderRemaining))
+}
+
+func TestAnIdOfAnUnreachableIssuerIsUnknown(t *testing.T) {
+	proxy, _ := start(t, func(http.ResponseWriter, *http.Request) { t.Error("it must not run") })
+	req, err := http.NewRequest(http.MethodPost, proxy+"/x", strings.NewReader("body"))
+	require.NoError(t, err)
+	req.Header.Set(jyproxy.HeaderIdempotencyKey, "entry-2~1~1~0~00112233445566778899aabbccddeeff")
+	resp, err := http.DefaultClient.Do(req)
+	require.NoError(t, err)
+	require.NoError(t, resp.Body.Close())
+	assert.Equal(t, string(jyoutcome.Unknown), resp.Header.Get(jyoutcome.Header))
+}
+
+// BenchmarkRequest shows what an instance adds to a request: the difference between its two rows.
+func BenchmarkRequest(b *testing.B) {
+	proxy, direct := start(b, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("answer")) })
+	for name, url := range map[string]string{"proxy": proxy, "direct": direct} {
+		b.Run(name, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				resp, err := http.Get(url)
+				if err != nil {
+					b.Fatal(err)
+				}
+				_, _ = io.Copy(io.Discard, resp.Body)
+				_ = resp.Body.Close()
+			}
+		})
+	}
+}
