--- /dev/null
+++ b/internal/jyring/main_test.go
@@ -0,0 +1,9 @@
+package jyring_test
+
+import (
+	"testing"
+
+	"github.com/jackdawyard/jackdawyard/internal/jytest"
+)
+
+func TestMain(m *testing.M) { jytest.Explore(m, jytest.Effort{}) }
