Link services by name, and drop what nobody used

The event of a ready instance was never logged. A reason, a field and a setter without use are gone; open connections and other state show as gauges.

--- a/internal/jykernel/kernel.go
+++ b/internal/jykernel/kernel.go
@@ -51,6 +51,9 @@
 
 // Run runs all services until ctx ends or one of them returns, then stops the others and waits for them.
 func (k *Kernel) Run(ctx context.Context) error {
+	if err := k.link(); err != nil {
+		return err
+	}
 	var g run.Group
 	for _, e := range k.entries {
 		child, cancel := context.WithCancel(ctx)
@@ -67,6 +70,17 @@
 	return g.Run()
 }
 
+func (k *Kernel) link() error {
+	for _, e := range k.entries {
+		if l, ok := e.service.(Linker); ok {
+			if err := l.Link(k); err != nil {
+				return wrap(e.name, err)
+			}
+		}
+	}
+	return nil
+}
+
 func wrap(name Name, err error) error {
 	if err == nil || errors.Is(err, context.Canceled) {
 		return nil
--- a/internal/jynode/node.go
+++ b/internal/jynode/node.go
@@ -36,6 +36,7 @@
 	ServiceInstances jykernel.Name = "InstanceList"
 	ServiceEvidence  jykernel.Name = "Evidence"
 	ServiceOperators jykernel.Name = "Operators"
+	ServiceGauges    jykernel.Name = "Gauges"
 	ServiceCallers   jykernel.Name = "Callers"
 )
 
@@ -113,7 +114,7 @@
 	s := n.settings
 	n.release = jyrelease.New(jyrelease.Config{
 		Platform: jyplatform.NewClient(s.ConfigurationAddress), Clients: clients,
-		WatchWait: s.WatchWait, PollInterval: s.PollInterval, PeerTimeout: s.PeerTimeout, WatchersPerCentre: s.WatchersPerCentre, Seeds: s.Seeds,
+		WatchWait: s.WatchWait, PollInterval: s.PollInterval, PeerTimeout: s.PeerTimeout, WatchersPerCentre: s.WatchersPerCentre, Seeds: s.Seeds, FleetService: ServiceFleet,
 		OnState: n.apply,
 	})
 	n.fleet = jyfleet.New(jyfleet.Config{
@@ -123,7 +124,6 @@
 		Interval: s.HeartbeatInterval, Timeout: s.PeerTimeout, Memory: s.RequestIDLifetime + s.RequestIDRetention,
 		Clients: clients, Mark: n.release.Mark, OnMark: n.release.OnMark,
 	})
-	n.release.SetFleet(n.fleet)
 	n.evidence = jyevidence.New(jyevidence.Config{
 		Directory: n.directory, Clients: clients, Fleet: n.fleet, Interval: s.ReportInterval, Timeout: s.PeerTimeout,
 	})
@@ -178,6 +178,7 @@
 		{ServiceInstances, jyrelease.ListWatch{Release: n.release}},
 		{ServiceEvidence, n.evidence},
 		{ServiceOperators, operators},
+		{ServiceGauges, gauges{n}},
 		{ServiceCallers, n.callers},
 	}
 	for _, v := range services {
--- a/internal/jynode/status.go
+++ b/internal/jynode/status.go
@@ -35,7 +35,9 @@
 	UsableSlots int
 	AllSlots    int
 	Floor       int
-	Servers     []ServerStatus `json:",omitempty"`
+	// Readmitted is the number of servers in use in spite of their standing, to hold the floor.
+	Readmitted int
+	Servers    []ServerStatus `json:",omitempty"`
 }
 
 // ServerStatus is a backend server that is not in full use.
@@ -43,11 +45,10 @@
 	Server jynote.ServerName
 	Phase  jydetector.Phase
 	// By is Fleet or Local.
-	By                  string
-	Cause               jydetector.Cause
-	Score               float64
-	RemainingSeconds    float64
-	ReadmittedAtService int
+	By               string
+	Cause            jydetector.Cause
+	Score            float64
+	RemainingSeconds float64
 }
 
 // Status returns what an operator sees of this instance.
@@ -61,19 +62,19 @@
 	}
 	for _, v := range n.directory.Snapshot().Services() {
 		c := v.Capacity()
-		s := ServiceStatus{Service: v.Info.Name, UsableSlots: c.UsableSlots, AllSlots: c.AllSlots, Floor: v.Info.Floor}
+		s := ServiceStatus{Service: v.Info.Name, UsableSlots: c.UsableSlots, AllSlots: c.AllSlots, Floor: v.Info.Floor, Readmitted: c.Readmitted}
 		fleet, local := v.Verdicts()
-		s.Servers = append(s.Servers, serverStatus(fleet, "Fleet", c.Readmitted)...)
-		s.Servers = append(s.Servers, serverStatus(local, "Local", c.Readmitted)...)
+		s.Servers = append(s.Servers, serverStatus(fleet, "Fleet")...)
+		s.Servers = append(s.Servers, serverStatus(local, "Local")...)
 		out.Services = append(out.Services, s)
 	}
 	return out
 }
 
-func serverStatus(list []jydetector.Verdict, by string, readmitted int) []ServerStatus {
+func serverStatus(list []jydetector.Verdict, by string) []ServerStatus {
 	out := make([]ServerStatus, 0, len(list))
 	for _, v := range list {
-		s := ServerStatus{Server: jynote.ServerName(v.Server), Phase: v.Phase, By: by, Cause: v.Cause, Score: v.Score, ReadmittedAtService: readmitted}
+		s := ServerStatus{Server: jynote.ServerName(v.Server), Phase: v.Phase, By: by, Cause: v.Cause, Score: v.Score}
 		if !v.Until.IsZero() {
 			s.RemainingSeconds = max(0, time.Until(v.Until).Seconds())
 		}
--- a/internal/jyrelease/compare.go
+++ b/internal/jyrelease/compare.go
@@ -28,6 +28,7 @@
 		ready := r.askAll(ctx, r.candidates(listed), reached)
 		if ready || (err == nil && isMajority(listed, reached)) {
 			r.compared.Store(true)
+			r.logReady()
 			return
 		}
 		wait(ctx, delay+rand.N(delay))
--- a/internal/jyrelease/release.go
+++ b/internal/jyrelease/release.go
@@ -10,6 +10,7 @@
 
 	"connectrpc.com/connect"
 
+	"github.com/jackdawyard/jackdawyard/internal/jykernel"
 	"github.com/jackdawyard/jackdawyard/internal/jylog"
 	"github.com/jackdawyard/jackdawyard/internal/jypeer"
 	"github.com/jackdawyard/jackdawyard/internal/jyplatform"
@@ -41,6 +42,8 @@
 	PollInterval      time.Duration
 	PeerTimeout       time.Duration
 	WatchersPerCentre int
+	// FleetService is the name under which the kernel knows the membership.
+	FleetService jykernel.Name
 	// Seeds are addresses to ask at the start beside the platform's list.
 	Seeds []string
 	// OnState is called with each state that comes into force, in order.
@@ -66,17 +69,30 @@
 	fetching atomic.Bool
 	compared atomic.Bool
 	away     atomic.Bool
+
+	readyLogged atomic.Bool
 }
 
-// New returns a release with nothing in force; SetFleet must follow.
+// New returns a release with nothing in force; the kernel links it to the membership.
 func New(c Config) *Release {
 	r := &Release{config: c, sequence: jynote.NewSequence(), peerMark: map[string]jypeer.Mark{}}
 	r.mark.Store(&jypeer.Mark{})
 	return r
 }
 
-// SetFleet tells the membership, which in turn needs this release's mark.
-func (r *Release) SetFleet(f Fleet) { r.fleet = f }
+// Link finds the membership, which in turn shows this release's mark.
+func (r *Release) Link(k *jykernel.Kernel) error {
+	f, err := jykernel.Find[Fleet](k, r.config.FleetService)
+	r.fleet = f
+	return err
+}
+
+// logReady tells once that the instance is ready.
+func (r *Release) logReady() {
+	if r.IsReady() && !r.readyLogged.Swap(true) {
+		jylog.InstanceReady.Log(r.Mark().Number)
+	}
+}
 
 // Mark returns the note in force.
 func (r *Release) Mark() jypeer.Mark { return *r.mark.Load() }
@@ -225,6 +241,7 @@
 	}
 	r.mu.Unlock()
 	if state.Number > before {
+		r.logReady()
 		r.announce(r.Mark())
 	}
 }
--- a/internal/jyrelease/release_test.go
+++ b/internal/jyrelease/release_test.go
@@ -7,14 +7,19 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/jackdawyard/jackdawyard/internal/jykernel"
 	"github.com/jackdawyard/jackdawyard/internal/jyrelease"
 	"github.com/jackdawyard/jackdawyard/pkg/jymember"
 	"github.com/jackdawyard/jackdawyard/pkg/jynote"
 )
 
+const fleetService = "Fleet"
+
 // alone is a membership of one.
 type alone struct{}
 
+func (alone) Run(context.Context) error { return nil }
+
 func (alone) Self() jymember.Member                                            { return jymember.Member{Name: "entry-1"} }
 func (alone) SyncList([]jymember.Seed)                                         {}
 func (alone) Others(int) []jymember.Member                                     { return nil }
@@ -24,7 +29,7 @@
 	var r *jyrelease.Release
 	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 	defer cancel()
-	r = jyrelease.New(jyrelease.Config{OnState: func(jynote.State) {
+	r = jyrelease.New(jyrelease.Config{FleetService: fleetService, OnState: func(jynote.State) {
 		// The membership reads the mark under its own lock, for which coming into force may wait.
 		read := make(chan struct{})
 		go func() {
@@ -37,7 +42,9 @@
 			t.Error("the mark waits for the state, which may wait for its reader")
 		}
 	}})
-	r.SetFleet(alone{})
+	k := jykernel.New()
+	require.NoError(t, k.Register(fleetService, alone{}))
+	require.NoError(t, r.Link(k))
 	r.Offer(1, []byte(`{"Number":1}`))
 	require.Equal(t, jynote.Number(1), r.Mark().Number)
 }
--- a/pkg/jydetector/detector.go
+++ b/pkg/jydetector/detector.go
@@ -46,7 +46,6 @@
 	cause     Cause
 	score     float64
 	strikes   int
-	drainTill time.Time
 	recent    window
 	total     Counts
 	tests     [len(channels)][]sum
--- a/pkg/jydetector/phase.go
+++ b/pkg/jydetector/phase.go
@@ -12,13 +12,13 @@
 }
 
 func (d *Detector) drain(now time.Time, s *server) []Change {
-	s.drainTill = now.Add(d.config.DrainMemory)
+	until := now.Add(d.config.DrainMemory)
 	if s.phase == Draining {
-		s.until = s.drainTill
+		s.until = until
 		return nil
 	}
 	change := Change{Server: s.Name, From: s.phase, To: Draining}
-	s.enter(now, Draining, s.drainTill)
+	s.enter(now, Draining, until)
 	return []Change{change}
 }
 
