Keep headers of our own from backend servers

Cause, found by reading: a backend server's own Jackdawyard- headers passed through, beside ours or in place of ours. They are dropped in both directions (TestWhatABackendServerSees).

--- a/internal/jyproxy/headers.go
+++ b/internal/jyproxy/headers.go
@@ -14,16 +14,19 @@
 	HeaderForwardedFor   = "X-Forwarded-For"
 )
 
+// ownPrefix starts the headers that only instances set.
+const ownPrefix = "Jackdawyard-"
+
 var hopByHop = []string{
 	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
 }
 
-// copyHeaders adds the end-to-end headers of src to dst.
+// copyHeaders adds the end-to-end headers of src to dst, but for those that only instances set.
 func copyHeaders(dst, src http.Header) {
 	dropped := connectionHeaders(src)
 	for name, values := range src {
-		if dropped[name] || isHopByHop(name) {
+		if dropped[name] || isHopByHop(name) || strings.HasPrefix(name, ownPrefix) {
 			continue
 		}
 		dst[name] = append(dst[name], values...)
--- a/internal/jyproxy/proxy_test.go
+++ b/internal/jyproxy/proxy_test.go
@@ -74,6 +74,7 @@
 		seen = r.Header
 		w.Header().Set("Connection", "X-Private")
 		w.Header().Set("X-Private", "yes")
+		w.Header().Set(jyoutcome.Header, string(jyoutcome.NotRun))
 		w.WriteHeader(http.StatusNoContent)
 	})
 	req, err := http.NewRequest(http.MethodGet, proxy+"/x", nil)
@@ -86,6 +87,7 @@
 	require.NoError(t, resp.Body.Close())
 	assert.Equal(t, http.StatusNoContent, resp.StatusCode)
 	assert.Empty(t, resp.Header.Get("X-Private"))
+	assert.Equal(t, []string{string(jyoutcome.Complete)}, resp.Header.Values(jyoutcome.Header))
 	assert.Empty(t, resp.Header.Get("Content-Length"))
 	assert.Empty(t, seen.Get("X-Hop"))
 	assert.Equal(t, "yes", seen.Get("X-Through"))
