Let the pooling instance follow its own verdicts at once

Cause, found by reading: an instance told all reporters of a changed verdict but itself, and went on sending requests to an ejected server until its next quiet report, a second or, with many services, minutes later. Before: TestThePoolingInstanceFollowsItsOwnVerdictsAtOnce fails; after: it passes.

--- a/internal/jyevidence/send.go
+++ b/internal/jyevidence/send.go
@@ -80,16 +80,16 @@
 	return true
 }
 
-// tell brings changed verdicts to all instances that report to this one, so that they need not ask.
+// tell brings changed verdicts to all instances that report to this one, and to this one, so that they need not ask.
 func (e *Evidence) tell(ctx context.Context) {
 	changed := e.changed.Drain(nil)
 	if len(changed) == 0 {
 		return
 	}
-	self := e.config.Fleet.Self()
+	e.takeVerdicts(e.pool.verdictsFor(changed, e.config.Fleet.Self().Name))
 	for _, m := range e.config.Fleet.Members() {
 		message := &jywire.TellRequest{Services: e.pool.verdictsFor(changed, m.Name)}
-		if len(message.Services) == 0 || m.Name == self.Name || m.Address == "" {
+		if len(message.Services) == 0 || m.Address == "" {
 			continue
 		}
 		go func() {
