--- a/internal/jycapacity/page.go
+++ b/internal/jycapacity/page.go
@@ -28,6 +28,7 @@
 	z := Target()
 	writeRoles(&b, z, s)
 	writeChecks(&b, Checks(z, s))
+	writeBadDays(&b, BadDays(z, s))
 	writeData(&b, z, s)
 	writeSlopes(&b, s)
 	_, err := io.WriteString(w, b.String())
--- a/internal/jycapacity/role.go
+++ b/internal/jycapacity/role.go
@@ -122,6 +122,14 @@
 				}
 			},
 		},
+		{
+			Name: "sharing slots", Mechanism: "two choices by own requests in flight, the server's own queue (pkg/jyslot)", State: "one count for each target",
+			Formula: "none: no word between instances", Cost: func(z Size, _ Slopes) Cost { return Cost{Memory: z.Targets * 8} },
+		},
+		{
+			Name: "probing servers", Mechanism: "none: real requests are judged, and a trickle brings servers back", State: "none",
+			Formula: "none", Cost: func(Size, Slopes) Cost { return Cost{} },
+		},
 		{
 			Name: "limits of callers", Mechanism: "token bucket at each instance, no messages (pkg/jylimit)", State: "one entry for each account",
 			Formula: "requests/s/nodes x admission",
