--- a/internal/jycapacity/page.go
+++ b/internal/jycapacity/page.go
@@ -14,7 +14,7 @@
 var neededSlopes = []string{
 	"heartbeat ns/op", "heartbeat B-wire", "heartbeat B-heap", "new-connection B-wire", "everything B-wire", "ranked ns/op", "release-apply ns/op",
 	"release-apply B-heap", "release-state B-file", "report B-wire", "report ns/op", "pool ns/op", "pool B-heap", "totals ns/op", "ledger B-heap",
-	"hand-over B-wire", "limiter B-heap", "burn B-heap", "metrics B-heap", "announce B-wire", "connections B-heap", "routes ns/op", "spread s-virtual", "centre-lost s-virtual", "regions-apart s-virtual",
+	"hand-over B-wire", "limiter B-heap", "burn B-heap", "metrics B-heap", "announce B-wire", "connections B-heap", "routes ns/op", "spread s-virtual", "watch B-wire", "centre-lost s-virtual", "regions-apart s-virtual",
 }
 
 // WritePage writes the tables of docs/CAPACITY.md; its errors are of kind Missing.
--- a/internal/jycapacity/role.go
+++ b/internal/jycapacity/role.go
@@ -72,10 +72,13 @@
 		},
 		{
 			Name: "watching configuration", Mechanism: "2 instances of each data centre hold a long poll", State: "none", IsWorst: true,
-			Formula: "1/20 s + 2 x changes/day, 500 bytes each",
+			Formula: "(1/1 s + 2 x changes/day + 1/300 s) x read + notes + list of nodes",
 			Cost: func(z Size, s Slopes) Cost {
-				reads := 1.0/watchSeconds + 2*z.Changes/secondsPerDay + 0.2
-				return Cost{Messages: 2 * reads, Bytes: reads * (noteBytes + 500), Core: reads * s["announce ns/op"].At(1) * nano}
+				polls, changes := 1.0/watchSeconds, 2*z.Changes/secondsPerDay
+				lists := 1.0 / listSeconds
+				reads := polls + changes + lists
+				each := s["watch B-wire"].At(1)
+				return Cost{Messages: 2 * reads, Bytes: reads*each + changes*noteBytes + lists*z.Nodes*listedBytes, Core: reads * s["announce ns/op"].At(1) * nano}
 			},
 		},
 		{
@@ -173,7 +176,7 @@
 	most := mean + 4*math.Sqrt(mean)
 	return []Check{
 		{"connections at a target", most * connectionsEach, z.Connections, "", "(mean + 4 deviations of instances at a target) x 2"},
-		{"reads of the configuration service", z.Centres*watchers*(1.0/watchSeconds+2*z.Changes/secondsPerDay+0.2) + z.Replacements/secondsPerDay, budgetReads, "/s", "watchers x (polls + changes + list) + starts"},
+		{"reads of the configuration service", z.Centres*watchers*(1.0/watchSeconds+2*z.Changes/secondsPerDay+1.0/listSeconds) + z.Replacements/secondsPerDay, budgetReads, "/s", "watchers x (polls + changes + list) + starts"},
 		{"reads while all nodes start in its outage", z.Nodes / 7.5, budgetReads, "/s", "nodes / (5 s x 1.5) once the delays have grown"},
 		{"whole state as a base note", s["release-state B-file"].At(z.Targets), budgetValue, "bytes", "fit of the encoded size"},
 		{"change in force at the last node", 2*hopSeconds + s["spread s-virtual"].At(z.Nodes), budgetChange, "s", "read + slowest of 20 spreads in virtual time"},
--- a/internal/jycapacity/target.go
+++ b/internal/jycapacity/target.go
@@ -29,7 +29,10 @@
 	// watchers is the number of instances of each data centre that watch the configuration service.
 	watchers = 2
 	// watchSeconds is how long a watch waits.
-	watchSeconds = 20
+	watchSeconds = 1
+	// listSeconds is how often a watcher reads the list of instances, and listedBytes the size of one of them there.
+	listSeconds = 300
+	listedBytes = 120
 	// fanOut is the number of peers that an instance tells of a note.
 	fanOut = 10
 	// quietMessages is the number of reports without urgency that an instance sends a second.
--- a/internal/jycapacity/wire_test.go
+++ b/internal/jycapacity/wire_test.go
@@ -13,6 +13,8 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/jackdawyard/jackdawyard/internal/jypeer"
+	"github.com/jackdawyard/jackdawyard/internal/jyplatform"
+	"github.com/jackdawyard/jackdawyard/internal/jystandin"
 	"github.com/jackdawyard/jackdawyard/internal/jywire"
 	"github.com/jackdawyard/jackdawyard/internal/jywire/jywireconnect"
 	"github.com/jackdawyard/jackdawyard/pkg/jydetector"
@@ -155,3 +157,24 @@
 		return err
 	})
 }
+
+// watch measures one call that waits for a change of the configuration and ends without one.
+func watch(b *testing.B, _ int) {
+	var bytes atomic.Int64
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(b, err)
+	platform := jystandin.NewPlatform("")
+	platform.Publish(790, []byte(`{"Number":790}`))
+	server := &http.Server{Handler: platform}
+	go func() { _ = server.Serve(countingListener{listener, &bytes}) }()
+	defer func() { _ = server.Close() }()
+	client := jyplatform.NewClient("http://" + listener.Addr().String())
+	calls := 0
+	for b.Loop() {
+		if _, err := client.Head(b.Context(), 790, time.Millisecond); err != nil {
+			b.Fatal(err)
+		}
+		calls++
+	}
+	b.ReportMetric(float64(bytes.Load())/float64(calls), wireUnit)
+}
--- a/internal/jynode/node.go
+++ b/internal/jynode/node.go
@@ -114,7 +114,7 @@
 	s := n.settings
 	n.release = jyrelease.New(jyrelease.Config{
 		Platform: jyplatform.NewClient(s.ConfigurationAddress), Clients: clients,
-		WatchWait: s.WatchWait, PollInterval: s.PollInterval, PeerTimeout: s.PeerTimeout, WatchersPerCentre: s.WatchersPerCentre, Seeds: s.Seeds, FleetService: ServiceFleet,
+		WatchWait: s.WatchWait, PollInterval: s.PollInterval, ListInterval: s.ListInterval, PeerTimeout: s.PeerTimeout, WatchersPerCentre: s.WatchersPerCentre, Seeds: s.Seeds, FleetService: ServiceFleet,
 		OnState: n.apply,
 	})
 	n.fleet = jyfleet.New(jyfleet.Config{
--- a/internal/jyrelease/compare.go
+++ b/internal/jyrelease/compare.go
@@ -115,7 +115,11 @@
 func (l ListWatch) Run(ctx context.Context) error {
 	r := l.Release
 	for ctx.Err() == nil {
-		wait(ctx, r.config.PollInterval)
+		interval := r.config.ListInterval
+		if len(r.fleet.Others(1)) == 0 {
+			interval = r.config.PollInterval
+		}
+		wait(ctx, interval)
 		if len(r.fleet.Others(1)) > 0 && !r.isWatcher() {
 			continue
 		}
--- a/internal/jyrelease/release.go
+++ b/internal/jyrelease/release.go
@@ -40,6 +40,7 @@
 	Clients           *jypeer.Clients
 	WatchWait         time.Duration
 	PollInterval      time.Duration
+	ListInterval      time.Duration
 	PeerTimeout       time.Duration
 	WatchersPerCentre int
 	// FleetService is the name under which the kernel knows the membership.
--- a/internal/jysettings/settings.go
+++ b/internal/jysettings/settings.go
@@ -17,6 +17,7 @@
 	ConfigurationAddress string
 	WatchWait            time.Duration
 	PollInterval         time.Duration
+	ListInterval         time.Duration
 	WatchersPerCentre    int
 
 	Seeds             []string
--- a/internal/jystandin/platform.go
+++ b/internal/jystandin/platform.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -37,7 +38,8 @@
 	mu      sync.Mutex
 	notes   map[jynote.Number][]byte
 	head    jyplatform.Head
-	stale   jynote.Number // when above 0, the newest number that readers see
+	stale   jynote.Number // when above 0, the newest number that stale reads see
+	share   float64       // of the reads that are stale
 	outage  bool
 	list    jyplatform.InstanceList
 	changed chan struct{} // closed at each change
@@ -93,10 +95,13 @@
 }
 
 // SetStale hides all notes above n from readers; 0 hides none.
-func (p *Platform) SetStale(n jynote.Number) {
+func (p *Platform) SetStale(n jynote.Number) { p.SetStaleShare(n, 1) }
+
+// SetStaleShare hides all notes above n from a share of the reads, as replicas that lag do.
+func (p *Platform) SetStaleShare(n jynote.Number, share float64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.stale = n
+	p.stale, p.share = n, share
 	p.wake()
 }
 
@@ -147,7 +152,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	h := p.head
-	if p.stale > 0 && h.Number > p.stale {
+	if p.stale > 0 && h.Number > p.stale && rand.Float64() < p.share {
 		h.Number = p.stale
 	}
 	if h.Base > h.Number {
--- a/scenario/fifteen_instances_test.go
+++ b/scenario/fifteen_instances_test.go
@@ -71,10 +71,23 @@
 
 // BenchmarkNoteInForce measures how long a note takes to be in force at 15 instances, each a process.
 func BenchmarkNoteInForce(b *testing.B) {
+	b.Run("steady", func(b *testing.B) { noteInForce(b, func(*fleet, jynote.Number) {}) })
+	b.Run("stale and restarting", func(b *testing.B) {
+		noteInForce(b, func(f *fleet, inForce jynote.Number) {
+			// Half of the reads do not see the next note, and one instance begins again without anything.
+			f.platform.SetStaleShare(inForce, 0.5)
+			f.end(f.entries[7], syscall.SIGKILL)
+			f.start(f.entries[7])
+		})
+	})
+}
+
+func noteInForce(b *testing.B, before func(f *fleet, inForce jynote.Number)) {
 	f := newFleet(b, 15, 8)
 	var took []time.Duration
 	number := jynote.Number(1)
 	for b.Loop() {
+		before(f, number)
 		number++
 		published := time.Now()
 		f.platform.Publish(number, []byte(fmt.Sprintf(`{"Number":%d,"Title":"measured"}`, number)))
