Never call a request NotRun after a server error

Cause, found by reading: an idempotent request whose server error was tried again was told NotRun when the next server could not be reached, though the first one had run it. It now counts as a request that may have run. A request whose deadline had passed before it was sent, as after a pause, was told Unknown and counted against the server; it is NotRun, and nobody is blamed. Before: TestAServerErrorIsNeverCalledNotRun fails; after: it passes. Ruled out: passing the server error on when no other server is left, which would keep its answer while the next attempt runs.

--- a/internal/jyproxy/attempt.go
+++ b/internal/jyproxy/attempt.go
@@ -72,6 +72,10 @@
 
 // lost ends an attempt that brought no head of an answer.
 func (a *attempt) lost(ctx context.Context, conn *jybackend.Connection, err error) *jyretry.Failure {
+	if errors.Is(err, errNotSent) {
+		a.end(jybackend.Neutral)
+		return &jyretry.Failure{CertainlyNotRun: true, Reason: jyoutcome.DeadlinePassed}
+	}
 	f := &jyretry.Failure{Reason: jyoutcome.AnswerLost}
 	if ctx.Err() == nil {
 		f.MayCrash = errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || isReset(err)
--- a/internal/jyproxy/exchange.go
+++ b/internal/jyproxy/exchange.go
@@ -39,7 +39,7 @@
 	now := time.Now()
 	out, err := a.request.outgoing(ctx, a.server.Info.Address, now)
 	if err == nil && !now.Before(a.request.deadline) {
-		err = context.DeadlineExceeded
+		err = errNotSent
 	}
 	if err != nil {
 		a.server.Pool.Drop(conn)
@@ -53,6 +53,9 @@
 	return exchange{connection: conn, response: resp}, nil
 }
 
+// errNotSent says that the deadline had passed before anything was sent.
+var errNotSent = errors.New("not sent: the deadline has passed")
+
 // hedge is a second copy of an idempotent request on a new connection to the same backend server.
 type hedge struct {
 	attempt     *attempt
--- a/internal/jyproxy/forwarder.go
+++ b/internal/jyproxy/forwarder.go
@@ -60,6 +60,7 @@
 		out, failure := a.run(ctx)
 		if failure == nil && f.retriesAnswer(r, out) {
 			out.discard()
+			r.mayHaveRun = true
 			continue
 		}
 		if failure == nil {
--- a/internal/jyproxy/proxy_test.go
+++ b/internal/jyproxy/proxy_test.go
@@ -34,8 +34,8 @@
 	return jydedup.Result{}, io.ErrUnexpectedEOF
 }
 
-// start returns the address of an instance before one backend server.
-func start(t testing.TB, backend http.HandlerFunc) (proxy, direct string) {
+// start returns the address of an instance before one backend server, and of that server; away names more that do not answer.
+func start(t testing.TB, backend http.HandlerFunc, away ...jynote.BackendServer) (proxy, direct string) {
 	server := httptest.NewServer(backend)
 	t.Cleanup(server.Close)
 	d := jybackend.NewDirectory(jybackend.Config{
@@ -45,9 +45,9 @@
 	d.Apply(jynote.State{
 		Number:   1,
 		Services: []jynote.Service{{Name: "s", DeadlineMilliseconds: 5000, MaxBodyBytes: 1 << 20, ServerDaysPerFalseEjection: 100}},
-		BackendServers: []jynote.BackendServer{{
+		BackendServers: append(away, jynote.BackendServer{
 			Name: "b", Service: "s", Address: strings.TrimPrefix(server.URL, "http://"), DataCentre: "d", Slots: 64, Connections: 300,
-		}},
+		}),
 		Routes: []jynote.Route{{Name: "r", PathPrefix: "/", Service: "s"}},
 	})
 	p := jyproxy.New(jyproxy.Config{
@@ -95,6 +95,24 @@
 	assert.NotEmpty(t, seen.Get(jyproxy.HeaderRemaining))
 }
 
+func TestAServerErrorIsNeverCalledNotRun(t *testing.T) {
+	away := jynote.BackendServer{Name: "away", Service: "s", Address: "127.0.0.1:1", DataCentre: "d", Slots: 64, Connections: 300}
+	// Which server comes first is drawn by lot.
+	for range 20 {
+		ran := false
+		proxy, _ := start(t, func(w http.ResponseWriter, _ *http.Request) {
+			ran = true
+			w.WriteHeader(http.StatusInternalServerError)
+		}, away)
+		resp, err := http.Get(proxy + "/x")
+		require.NoError(t, err)
+		require.NoError(t, resp.Body.Close())
+		if ran {
+			assert.NotEqual(t, string(jyoutcome.NotRun), resp.Header.Get(jyoutcome.Header))
+		}
+	}
+}
+
 func TestAnIdOfAnUnreachableIssuerIsUnknown(t *testing.T) {
 	proxy, _ := start(t, func(http.ResponseWriter, *http.Request) { t.Error("it must not run") })
 	req, err := http.NewRequest(http.MethodPost, proxy+"/x", strings.NewReader("body"))
