Say once what stood twice

Read as a newcomer: three copies of a wait with a context are one (jykernel.Wait); two scenarios share their waits and checks of ejections; the fields of Evidence say whose they are; the comment of the floor's test described another test. No test, bound or check is loosened.

--- a/internal/jyevidence/evidence.go
+++ b/internal/jyevidence/evidence.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/jackdawyard/jackdawyard/internal/jybackend"
+	"github.com/jackdawyard/jackdawyard/internal/jykernel"
 	"github.com/jackdawyard/jackdawyard/internal/jypeer"
 	"github.com/jackdawyard/jackdawyard/internal/jyring"
 	"github.com/jackdawyard/jackdawyard/pkg/jydetector"
@@ -39,14 +40,17 @@
 type Evidence struct {
 	config  Config
 	urgent  *jyring.Ring[jynote.ServiceName]
-	sent    map[sentKey]jydetector.Counts
-	number  jynote.Number // of the note for which the maps below hold entries
-	turn    int           // of the services that are reported without urgency
-	local   map[jynote.ServiceName]*jydetector.Detector
-	pool    *pool
 	changed *jyring.Ring[jynote.ServiceName] // services whose pooled verdicts changed
-	mu      sync.Mutex
-	told    map[jynote.ServiceName]statement // the last that was followed
+	pool    *pool
+
+	// What follows belongs to Run; number is the note whose services and servers the maps hold.
+	number jynote.Number
+	turn   int // of the services that are reported without urgency
+	sent   map[sentKey]jydetector.Counts
+	local  map[jynote.ServiceName]*jydetector.Detector
+
+	mu   sync.Mutex
+	told map[jynote.ServiceName]statement // the last that was followed
 }
 
 // statement identifies what a pooling instance said of a service.
@@ -94,7 +98,7 @@
 			return nil
 		case <-e.urgent.Ready():
 			// What fails in the meantime travels with it.
-			wait(ctx, e.config.Interval/urgentFraction)
+			jykernel.Wait(ctx, e.config.Interval/urgentFraction)
 			e.reportUrgent(ctx)
 		case <-e.changed.Ready():
 		case <-quiet.C:
@@ -104,13 +108,6 @@
 	}
 }
 
-func wait(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // reportUrgent sends what is new of the services with failures.
 func (e *Evidence) reportUrgent(ctx context.Context) {
 	names := e.urgent.Drain(nil)
--- a/internal/jynode/shut_down.go
+++ b/internal/jynode/shut_down.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/jackdawyard/jackdawyard/internal/jykernel"
 	"github.com/jackdawyard/jackdawyard/internal/jylog"
 )
 
@@ -44,10 +45,9 @@
 
 func (n *Node) waitIdle(ctx context.Context) {
 	for n.proxy.InProgress() > 0 || n.ledger.Stats().Running > 0 {
-		select {
-		case <-ctx.Done():
+		if ctx.Err() != nil {
 			return
-		case <-time.After(drainPoll):
 		}
+		jykernel.Wait(ctx, drainPoll)
 	}
 }
--- a/internal/jyrelease/compare.go
+++ b/internal/jyrelease/compare.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/jackdawyard/jackdawyard/internal/jykernel"
 	"github.com/jackdawyard/jackdawyard/internal/jyplatform"
 	"github.com/jackdawyard/jackdawyard/pkg/jymember"
 )
@@ -31,7 +32,7 @@
 			r.logReady()
 			return
 		}
-		wait(ctx, delay+rand.N(delay))
+		jykernel.Wait(ctx, delay+rand.N(delay))
 		// A fleet that starts while the service is away must not press on it.
 		delay = min(2*delay, r.config.PollInterval)
 	}
@@ -119,7 +120,7 @@
 		if len(r.fleet.Others(1)) == 0 {
 			interval = r.config.PollInterval
 		}
-		wait(ctx, interval)
+		jykernel.Wait(ctx, interval)
 		if len(r.fleet.Others(1)) > 0 && !r.isWatcher() {
 			continue
 		}
--- a/internal/jyrelease/release.go
+++ b/internal/jyrelease/release.go
@@ -132,26 +132,19 @@
 	delay := firstDelay
 	for ctx.Err() == nil {
 		if !r.isWatcher() {
-			wait(ctx, electionTry)
+			jykernel.Wait(ctx, electionTry)
 			continue
 		}
 		if r.watch(ctx) {
 			delay = firstDelay
 			continue
 		}
-		wait(ctx, delay+rand.N(delay))
+		jykernel.Wait(ctx, delay+rand.N(delay))
 		delay = min(2*delay, r.config.PollInterval)
 	}
 	return nil
 }
 
-func wait(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // isWatcher reports whether this instance is among those of its data centre that watch for the others.
 func (r *Release) isWatcher() bool {
 	self := r.fleet.Self()
--- a/internal/jystandin/balancer.go
+++ b/internal/jystandin/balancer.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/jackdawyard/jackdawyard/internal/jykernel"
 	"github.com/jackdawyard/jackdawyard/pkg/jyfault"
 )
 
@@ -77,10 +78,7 @@
 		if err == nil {
 			_ = resp.Body.Close()
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(checkInterval):
-		}
+		jykernel.Wait(ctx, checkInterval)
 	}
 }
 
--- a/pkg/jyfloor/choose_test.go
+++ b/pkg/jyfloor/choose_test.go
@@ -33,8 +33,8 @@
 	}
 }
 
-// naive tries all sets of servers and returns the fewest slots above the floor that any set reaches.
-func naive(servers []jyfloor.Server, need int) bool {
+// canHold reports whether all servers that are not draining hold the floor together.
+func canHold(servers []jyfloor.Server, need int) bool {
 	all := 0
 	for _, s := range servers {
 		if s.Standing != jyfloor.Draining {
@@ -66,7 +66,7 @@
 			require.Less(t, have, max(1, floor), "choice %d was not needed", i)
 			have += servers[k].Slots
 		}
-		if naive(servers, max(1, floor)) {
+		if canHold(servers, max(1, floor)) {
 			require.GreaterOrEqual(t, have, floor)
 		}
 	})
--- a/scenario/backend_servers_test.go
+++ b/scenario/backend_servers_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -35,19 +36,29 @@
 	return replies
 }
 
+// waitUntilEjected sends requests until just this server is ejected at all entries.
+func (f *fleet) waitUntilEjected(server int) {
+	f.t.Helper()
+	f.waitFor("just the gray server is ejected everywhere", func() bool {
+		f.drive(120)
+		return !slices.ContainsFunc(f.entries, func(e *entry) bool {
+			return !slices.Equal(f.ejected(e), []string{serverName(server)})
+		})
+	})
+}
+
+func (f *fleet) requireNobodyEjected() {
+	f.t.Helper()
+	for _, e := range f.entries {
+		require.Empty(f.t, f.ejected(e), e.name)
+	}
+}
+
 func TestAGrayServerIsEjectedEverywhere(t *testing.T) {
 	f := newFleet(t, 3, 4)
 	f.drive(600)
 	f.servers[1].SetFault(jystandin.Fault{FailShare: 0.5})
-	f.waitFor("the gray server is ejected everywhere", func() bool {
-		f.drive(120)
-		for _, e := range f.entries {
-			if strings.Join(f.ejected(e), " ") != serverName(1) {
-				return false
-			}
-		}
-		return true
-	})
+	f.waitUntilEjected(1)
 }
 
 func TestAServiceThatFailsAsAWholeKeepsAllServers(t *testing.T) {
@@ -57,9 +68,7 @@
 		s.SetFault(jystandin.Fault{FailShare: 0.8})
 	}
 	f.drive(1200)
-	for _, e := range f.entries {
-		assert.Empty(t, f.ejected(e))
-	}
+	f.requireNobodyEjected()
 }
 
 func TestADrainingServerGetsNoNewWorkOnceItsMarkIsKnown(t *testing.T) {
@@ -117,9 +126,7 @@
 	for _, r := range f.drive(600) {
 		assert.Equal(t, jyoutcome.Complete, r.outcome)
 	}
-	for _, e := range f.entries {
-		assert.Empty(t, f.ejected(e))
-	}
+	f.requireNobodyEjected()
 }
 
 func TestAnOverloadedServiceRefusesTruthfullyAndRecovers(t *testing.T) {
--- a/scenario/fifteen_instances_test.go
+++ b/scenario/fifteen_instances_test.go
@@ -15,15 +15,7 @@
 	f := newFleet(t, 15, 8)
 	f.drive(900)
 	f.servers[3].SetFault(jystandin.Fault{FailShare: 0.5})
-	f.waitFor("the gray server is ejected everywhere", func() bool {
-		f.drive(240)
-		for _, e := range f.entries {
-			if !slices.Equal(f.ejected(e), []string{serverName(3)}) {
-				return false
-			}
-		}
-		return true
-	})
+	f.waitUntilEjected(3)
 	for _, e := range f.entries[:3] {
 		f.end(e, syscall.SIGKILL)
 	}
--- a/scenario/partitions_test.go
+++ b/scenario/partitions_test.go
@@ -56,9 +56,7 @@
 	for _, r := range f.drive(960) {
 		require.Equal(t, jyoutcome.Complete, r.outcome)
 	}
-	for _, e := range f.entries {
-		assert.Empty(t, f.ejected(e))
-	}
+	f.requireNobodyEjected()
 }
 
 func TestAnAnswerThatIsCutIsNeverPassedOffAsComplete(t *testing.T) {
