--- a/internal/jybackend/directory.go
+++ b/internal/jybackend/directory.go
@@ -17,7 +17,12 @@
 	ConnectTimeout   time.Duration
 	MaxIdle          time.Duration
 	RetryBudgetShare float64
-	Instance         string
+	// RetryBudgetSlack is the number of retries that the whole fleet may make beyond the share.
+	RetryBudgetSlack int
+	// ByLoss chooses servers by expected loss from DataCentre; else by free slots among those that are not ejected.
+	ByLoss     bool
+	DataCentre string
+	Instance   string
 	// Instances returns how many instances share the backend servers.
 	Instances func() int
 	// IsNear reports whether a data centre is in this instance's region.
@@ -48,6 +53,20 @@
 // Snapshot returns what is in force now.
 func (d *Directory) Snapshot() *Snapshot { return d.current.Load() }
 
+// Server returns the backend server of that name, or nil.
+func (s *Snapshot) Server(service jynote.ServiceName, name jynote.ServerName) *Server {
+	v := s.services[service]
+	if v == nil {
+		return nil
+	}
+	for _, b := range v.Servers {
+		if b.Info.Name == name {
+			return b
+		}
+	}
+	return nil
+}
+
 // Service returns the service of that name, or nil.
 func (s *Snapshot) Service(name jynote.ServiceName) *Service { return s.services[name] }
 
@@ -65,7 +84,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	old := d.current.Load()
-	if state.Number <= old.State.Number {
+	if !state.IsAfter(old.State) {
 		return
 	}
 	servers := old.serversByName()
@@ -126,12 +145,15 @@
 }
 
 func (d *Directory) service(info jynote.Service, old *Service) *Service {
-	v := &Service{Info: info, latency: newLatency(), budget: jyretry.NewBudget(d.config.RetryBudgetShare)}
+	v := &Service{
+		Info: info, latency: newLatency(), byLoss: d.config.ByLoss, dataCentre: d.config.DataCentre,
+		budget: jyretry.NewBudget(d.config.RetryBudgetShare),
+	}
 	v.plan = func(servers, connections int) jysubset.Plan {
 		return jysubset.PlanFor(d.config.Instances(), servers, connections)
 	}
 	if old != nil {
-		v.latency = old.latency
+		v.latency, v.budget = old.latency, old.budget
 	}
 	return v
 }
--- a/internal/jybackend/pool.go
+++ b/internal/jybackend/pool.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"sync"
 	"time"
 
@@ -19,20 +18,12 @@
 
 // Pool holds the connections of this instance to one backend server.
 type Pool struct {
-	config    PoolConfig
-	mu        sync.Mutex
-	transport *http.Transport // nil until first used
-	idle      []*Connection   // most recently used last
-	most      int
-	open      int
-	closed    bool
-}
-
-// Connection is one connection, in use by at most one request.
-type Connection struct {
-	client *http.ClientConn
-	proof  time.Time // when it last brought a whole answer, or was opened
-	Reused bool
+	config PoolConfig
+	mu     sync.Mutex
+	idle   []*Connection // most recently used last
+	most   int
+	open   int
+	closed bool
 }
 
 // NewPool returns a pool without connections; SetMost must follow.
@@ -45,24 +36,6 @@
 	p.most = n
 }
 
-// dialer returns what opens connections; most pools of a large fleet never need one.
-func (p *Pool) dialer() *http.Transport {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.transport == nil {
-		dialer := &net.Dialer{Timeout: p.config.ConnectTimeout}
-		p.transport = &http.Transport{
-			DialContext:        dialer.DialContext,
-			DisableCompression: true,
-			WriteBufferSize:    bufferBytes,
-			ReadBufferSize:     bufferBytes,
-		}
-	}
-	return p.transport
-}
-
-const bufferBytes = 4 << 10
-
 // Get returns an idle connection with proof of life since proofAfter, or a new one; its errors are of kind ConnectFailed or Exhausted.
 func (p *Pool) Get(ctx context.Context, now, proofAfter time.Time) (*Connection, error) {
 	if c := p.takeIdle(now, proofAfter); c != nil {
@@ -77,12 +50,13 @@
 	if !p.reserve() {
 		return nil, jyfault.New(op, Exhausted, "all connections to %s are in use", p.config.Address)
 	}
-	client, err := p.dialer().NewClientConn(ctx, "http", p.config.Address)
+	dialer := &net.Dialer{Timeout: p.config.ConnectTimeout, KeepAlive: -1}
+	conn, err := dialer.DialContext(ctx, "tcp", p.config.Address)
 	if err != nil {
 		p.unreserve()
 		return nil, jyfault.New(op, ConnectFailed, "%w", err)
 	}
-	return &Connection{client: client, proof: now}, nil
+	return newConnection(conn, now), nil
 }
 
 // takeIdle prefers the most recently used connection, and closes those that ended or idled too long.
@@ -96,7 +70,7 @@
 			return nil
 		}
 		p.idle = p.idle[:last]
-		if c.client.Err() != nil || now.Sub(c.proof) > p.config.MaxIdle {
+		if !c.isUsable(now.Sub(c.proof), p.config.MaxIdle) {
 			p.closeLocked(c)
 			continue
 		}
@@ -133,17 +107,14 @@
 
 func (p *Pool) closeLocked(c *Connection) {
 	p.open--
-	_ = c.client.Close()
+	c.Close()
 }
 
-// RoundTrip sends a request on the connection and returns the head of its answer.
-func (c *Connection) RoundTrip(r *http.Request) (*http.Response, error) { return c.client.RoundTrip(r) }
-
 // Put returns a connection whose last answer was read to its end.
 func (p *Pool) Put(c *Connection, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed {
+	if p.closed || c.ended {
 		p.closeLocked(c)
 		return
 	}
--- a/internal/jybackend/server.go
+++ b/internal/jybackend/server.go
@@ -20,6 +20,7 @@
 	drains   atomic.Int64 // until when it counts as leaving, in nanoseconds since the epoch
 	lost     atomic.Int32 // connections lost in a row
 	passOver atomic.Int64 // until when others are preferred, in nanoseconds since the epoch
+	health   health
 }
 
 // ConnectionLost makes this instance prefer other servers for a while, which grows while connections go on being lost.
@@ -71,10 +72,12 @@
 	case Failed:
 		s.attempts.Add(1)
 		s.failures.Add(1)
+		s.health.observe(time.Now(), true)
 		return true
 	case Answered:
 		s.lost.Store(0)
 		s.attempts.Add(1)
+		s.health.observe(time.Now(), false)
 		if v.latency.add(latency) {
 			s.slow.Add(1)
 		}
--- a/internal/jybackend/service.go
+++ b/internal/jybackend/service.go
@@ -26,6 +26,9 @@
 	Info    jynote.Service
 	Servers []*Server // in the order in which this instance uses them
 	latency *latency
+	// byLoss says that servers are chosen by expected loss, as seen from dataCentre.
+	byLoss     bool
+	dataCentre string
 	// view holds the seats that this instance uses, and all those of the whole service.
 	view   atomic.Pointer[[]seat]
 	all    atomic.Pointer[[]seat]
@@ -68,10 +71,15 @@
 type Need struct {
 	Idempotent bool
 	Exclude    []*Server // tried already
+	// Objective is the latency up to which the answer is worth most.
+	Objective time.Duration
 }
 
 // Choose picks a backend server and counts the request in flight there until Release; its error is of kind NoServer.
 func (v *Service) Choose(now time.Time, n Need) (*Server, error) {
+	if v.byLoss {
+		return v.chooseByLoss(now, n)
+	}
 	seats := *v.view.Load()
 	at := func(i int) jyslot.Candidate { return seats[i].candidate(now, n, v.limit(seats[i].server)) }
 	// A few tries settle the races for the last place at a server.
@@ -97,10 +105,8 @@
 
 func (s seat) candidate(now time.Time, n Need, limit int) jyslot.Candidate {
 	c := jyslot.Candidate{Slots: s.server.Info.Slots, InFlight: s.server.InFlight(), Limit: limit}
-	for _, x := range n.Exclude {
-		if x == s.server {
-			return c
-		}
+	if n.excludes(s.server) {
+		return c
 	}
 	c.Weight = s.weight(now, n.Idempotent)
 	if s.server.isPassedOver(now) {
--- a/internal/jycapacity/slope_test.go
+++ b/internal/jycapacity/slope_test.go
@@ -311,7 +311,7 @@
 	for b.Loop() {
 		i++
 		r := s.Routes[i%len(s.Routes)]
-		if _, ok := t.Find("GET", r.PathPrefix+"/item/7"); !ok {
+		if _, ok := t.Find(jyroute.Request{Method: "GET", Path: r.PathPrefix + "/item/7"}); !ok {
 			b.Fatal("not found")
 		}
 	}
--- a/internal/jycommand/serve.go
+++ b/internal/jycommand/serve.go
@@ -11,15 +11,15 @@
 	"github.com/jackdawyard/jackdawyard/internal/jysettings"
 )
 
-// garbagePercent lets the heap of a node, which is small beside its machine, grow further between collections.
-const garbagePercent = 400
+// settingsVariable names the settings file where no flag does.
+const settingsVariable = "JACKDAWYARD_CONFIG"
 
 func serveCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "serve",
 		Usage: "run one entry instance until SIGTERM, then shut down gracefully",
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "settings", Usage: "INI settings `FILE`", Required: true},
+			&cli.StringFlag{Name: "settings", Usage: "INI settings `FILE`", Required: true, Sources: cli.EnvVars(settingsVariable)},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
 			settings, faults, err := jysettings.Load(c.String("settings"))
@@ -29,7 +29,7 @@
 			if len(faults) > 0 {
 				return fmt.Errorf("%d faults in %s; the first is %s", len(faults), c.String("settings"), faults[0])
 			}
-			debug.SetGCPercent(garbagePercent)
+			debug.SetGCPercent(settings.HeapGrowthPercent)
 			debug.SetMemoryLimit(settings.MemoryLimit)
 			node, err := jynode.New(settings)
 			if err != nil {
--- a/internal/jyfleet/fleet.go
+++ b/internal/jyfleet/fleet.go
@@ -28,6 +28,8 @@
 	Mark func() jypeer.Mark
 	// OnMark is called with each mark that a peer shows.
 	OnMark func(address string, m jypeer.Mark)
+	// Seeds are addresses that are asked while no other instance is known.
+	Seeds []string
 }
 
 const (
@@ -65,6 +67,7 @@
 	ticker := time.NewTicker(f.config.Interval)
 	defer ticker.Stop()
 	last := time.Now()
+	f.join(ctx)
 	for {
 		select {
 		case <-ctx.Done():
@@ -74,6 +77,7 @@
 		now := time.Now()
 		f.tick(now, now.Sub(last))
 		last = now
+		f.join(ctx)
 		f.probe(ctx)
 	}
 }
@@ -106,6 +110,18 @@
 	}()
 }
 
+// join asks the seeds while this instance knows no other.
+func (f *Fleet) join(ctx context.Context) {
+	if len(f.config.Seeds) == 0 || f.WorkingCount() > 1 {
+		return
+	}
+	for _, address := range f.config.Seeds {
+		if address != f.config.Self.Address {
+			go f.beat(ctx, jymember.Member{Address: address})
+		}
+	}
+}
+
 // beat sends one heartbeat and reports whether it was answered.
 func (f *Fleet) beat(ctx context.Context, to jymember.Member) bool {
 	ctx, cancel := context.WithTimeout(ctx, f.config.Timeout)
--- a/internal/jylog/catalogue.go
+++ b/internal/jylog/catalogue.go
@@ -26,6 +26,8 @@
 	NoteWaiting         = define(203, Info, "release note waits for a lower number", "Publish the missing number.", "Number", "InForce")
 	PlatformUnreachable = define(204, Alarm, "configuration service cannot be read", "Restore it; the fleet goes on with what is in force.", "Cause")
 	PlatformReachable   = define(205, Info, "configuration service can be read again", "None.")
+	EntryUnreadable     = define(207, Alarm, "entry of the store cannot be read", "Look for who wrote it; it names no backend server.", "Key", "Revision", "Cause")
+	StateApplied        = define(208, Info, "configuration and servers in force", "None.", "Number", "Revision", "Servers")
 	PeerDisagrees       = define(206, Alarm, "peer holds other content under the same number", "Publish a base note under the next number.", "Peer", "Number", "Digest", "PeerDigest")
 
 	ServerEjected   = define(300, Alarm, "backend server ejected", "Look at the backend server; it is tried again by itself.", "Service", "Server", "Cause", "Score")
--- a/internal/jynode/gauges.go
+++ b/internal/jynode/gauges.go
@@ -36,9 +36,9 @@
 		}
 	}
 	for name, value := range map[string]int{
-		"release_number":     int(n.release.Mark().Number),
+		"release_number":     int(n.source.Mark().Number),
 		"working_instances":  n.fleet.WorkingCount(),
-		"request_ids":        n.ledger.Stats().Records,
+		"request_ids":        n.requestIDs().Records,
 		"in_progress":        int(n.proxy.InProgress()),
 		"server_connections": open,
 		"usable_slots":       usable,
--- a/internal/jynode/node.go
+++ b/internal/jynode/node.go
@@ -32,7 +32,7 @@
 const (
 	ServicePeers     jykernel.Name = "Peers"
 	ServiceFleet     jykernel.Name = "Fleet"
-	ServiceRelease   jykernel.Name = "Release"
+	ServiceSource    jykernel.Name = "Source"
 	ServiceInstances jykernel.Name = "InstanceList"
 	ServiceEvidence  jykernel.Name = "Evidence"
 	ServiceOperators jykernel.Name = "Operators"
@@ -42,7 +42,6 @@
 
 const (
 	secretBytes = 32
-	maxIdle     = 30 * time.Second
 	// maxCallers bounds the callers whose rate is remembered: all accounts of the largest fleet, twice over.
 	maxCallers = 54_000
 )
@@ -53,17 +52,19 @@
 	boot      jymember.Boot
 	kernel    *jykernel.Kernel
 	directory *jybackend.Directory
+	source    source
 	fleet     *jyfleet.Fleet
-	release   *jyrelease.Release
-	ledger    *jyledger.Ledger
-	relay     *jyrelay.Relay
-	block     *jyrelay.Block
-	evidence  *jyevidence.Evidence
-	proxy     *jyproxy.Proxy
-	metrics   *jymetric.Metrics
-	burn      *jyreport.Burn
-	callers   *callerServer
-	draining  chan struct{} // closed when the instance begins to leave
+	// What follows is nil where the instance follows the platform's store.
+	release  *jyrelease.Release
+	ledger   *jyledger.Ledger
+	relay    *jyrelay.Relay
+	block    *jyrelay.Block
+	evidence *jyevidence.Evidence
+	proxy    *jyproxy.Proxy
+	metrics  *jymetric.Metrics
+	burn     *jyreport.Burn
+	callers  *callerServer
+	draining chan struct{} // closed when the instance begins to leave
 }
 
 // New puts an instance together and opens its addresses.
@@ -79,15 +80,25 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := n.makeLedger(); err != nil {
-		return nil, err
-	}
-	clients := jypeer.NewClients(credentials)
 	n.directory = jybackend.NewDirectory(jybackend.Config{
-		ConnectTimeout: s.ConnectTimeout, MaxIdle: maxIdle, RetryBudgetShare: s.RetryBudgetShare,
+		ConnectTimeout: s.ConnectTimeout, MaxIdle: s.MaxIdle,
+		RetryBudgetShare: s.RetryBudgetShare, RetryBudgetSlack: s.RetryBudgetSlack,
+		ByLoss: s.Placing == jysettings.PlacingLoss, DataCentre: s.DataCentre,
 		Instance: s.Name, Instances: n.countInstances, IsNear: n.isNear,
 	})
-	n.makeFleet(clients)
+	n.burn = jyreport.NewBurn(n.directory, n.metrics)
+	clients := jypeer.NewClients(credentials)
+	if n.followsStore() {
+		n.makeDiscovery()
+		n.makeFleet(clients, func(string, jypeer.Mark) {})
+		n.makeStoreProxy()
+		return n, n.register(credentials)
+	}
+	if err := n.makeLedger(); err != nil {
+		return nil, err
+	}
+	n.makeRelease(clients)
+	n.makeFleet(clients, n.release.OnMark)
 	n.makeProxy(clients)
 	return n, n.register(credentials)
 }
@@ -110,28 +121,32 @@
 	return nil
 }
 
-func (n *Node) makeFleet(clients *jypeer.Clients) {
+func (n *Node) makeRelease(clients *jypeer.Clients) {
 	s := n.settings
 	n.release = jyrelease.New(jyrelease.Config{
 		Platform: jyplatform.NewClient(s.ConfigurationAddress), Clients: clients,
 		WatchWait: s.WatchWait, PollInterval: s.PollInterval, ListInterval: s.ListInterval, PeerTimeout: s.PeerTimeout, WatchersPerCentre: s.WatchersPerCentre, Seeds: s.Seeds, FleetService: ServiceFleet,
 		OnState: n.apply,
 	})
+	n.source = n.release
+}
+
+func (n *Node) makeFleet(clients *jypeer.Clients, onMark func(string, jypeer.Mark)) {
+	s := n.settings
 	n.fleet = jyfleet.New(jyfleet.Config{
 		Self: jymember.Member{
 			Name: jymember.Name(s.Name), Boot: n.boot, Address: cmp.Or(s.AdvertisedAddress, s.PeerAddress), DataCentre: s.DataCentre, Region: s.Region,
 		},
 		Interval: s.HeartbeatInterval, Timeout: s.PeerTimeout, Memory: s.RequestIDLifetime + s.RequestIDRetention,
-		Clients: clients, Mark: n.release.Mark, OnMark: n.release.OnMark,
-	})
-	n.evidence = jyevidence.New(jyevidence.Config{
-		Directory: n.directory, Clients: clients, Fleet: n.fleet, Interval: s.ReportInterval, Timeout: s.PeerTimeout,
+		Clients: clients, Mark: n.source.Mark, OnMark: onMark, Seeds: s.Seeds,
 	})
 }
 
 func (n *Node) makeProxy(clients *jypeer.Clients) {
 	s := n.settings
-	n.burn = jyreport.NewBurn(n.directory, n.metrics)
+	n.evidence = jyevidence.New(jyevidence.Config{
+		Directory: n.directory, Clients: clients, Fleet: n.fleet, Interval: s.ReportInterval, Timeout: s.PeerTimeout,
+	})
 	n.relay = jyrelay.New(jyrelay.Config{Clients: clients, Fleet: n.fleet, Ledger: n.ledger, Timeout: s.PeerTimeout})
 	others := func() []jymember.Member { return n.fleet.Others(maxFleet) }
 	n.block = jyrelay.NewBlock(clients, others, s.PeerTimeout)
@@ -144,7 +159,7 @@
 		Ledger:         n.ledger,
 		Relayer:        n.relay,
 		Recorder:       n.burn,
-		Limits:         jyproxy.NewLimits(jylimit.Config{Rate: s.CallerRate, Burst: s.CallerBurst, Concurrency: s.CallerConcurrency, MaxCallers: maxCallers}),
+		Limits:         n.limits(),
 		CallerHeader:   s.CallerHeader,
 		MaxConcurrent:  s.MaxConcurrent,
 		MaxAnswerBytes: s.MaxAnswerBytes,
@@ -152,9 +167,19 @@
 	n.relay.SetDecider(n.proxy)
 }
 
+func (n *Node) limits() *jyproxy.Limits {
+	s := n.settings
+	return jyproxy.NewLimits(jylimit.Config{Rate: s.CallerRate, Burst: s.CallerBurst, Concurrency: s.CallerConcurrency, MaxCallers: maxCallers})
+}
+
 // maxFleet bounds the instances that are told of a blocked request.
 const maxFleet = 1024
 
+type namedService struct {
+	name    jykernel.Name
+	service jykernel.Service
+}
+
 func (n *Node) register(credentials jypeer.Credentials) error {
 	s := n.settings
 	peers, err := jypeer.Listen(s.PeerAddress, credentials, n.peerHandler())
@@ -168,19 +193,19 @@
 	if n.callers, err = newCallerServer(s.CallerAddress, n.proxy); err != nil {
 		return err
 	}
-	services := []struct {
-		name    jykernel.Name
-		service jykernel.Service
-	}{
+	services := []namedService{
 		{ServicePeers, peers},
 		{ServiceFleet, n.fleet},
-		{ServiceRelease, n.release},
-		{ServiceInstances, jyrelease.ListWatch{Release: n.release}},
-		{ServiceEvidence, n.evidence},
+		{ServiceSource, n.source},
 		{ServiceOperators, operators},
 		{ServiceGauges, gauges{n}},
 		{ServiceCallers, n.callers},
 	}
+	if !n.followsStore() {
+		services = append(services,
+			namedService{ServiceInstances, jyrelease.ListWatch{Release: n.release}},
+			namedService{ServiceEvidence, n.evidence})
+	}
 	for _, v := range services {
 		if err := n.kernel.Register(v.name, v.service); err != nil {
 			return err
--- a/internal/jynode/shut_down.go
+++ b/internal/jynode/shut_down.go
@@ -6,6 +6,7 @@
 
 	"github.com/jackdawyard/jackdawyard/internal/jykernel"
 	"github.com/jackdawyard/jackdawyard/internal/jylog"
+	"github.com/jackdawyard/jackdawyard/pkg/jymember"
 )
 
 // patience is how long beyond the longest deadline in force a request may take to end.
@@ -24,15 +25,25 @@
 	defer cancel()
 	// An error means that the time is over; what is left is counted below.
 	_ = n.callers.http.Shutdown(ctx)
-	n.ledger.Seal()
+	if n.ledger != nil {
+		n.ledger.Seal()
+	}
 	n.waitIdle(ctx)
 	cutOff := n.proxy.InProgress()
+	n.fleet.Leave(ctx, n.handOver(ctx))
+	jylog.InstanceStopped.Log(cutOff)
+}
+
+// handOver returns who takes the request ids over, or nil.
+func (n *Node) handOver(ctx context.Context) *jymember.Run {
+	if n.relay == nil {
+		return nil
+	}
 	successor, err := n.relay.HandOver(ctx)
 	if err != nil {
 		jylog.HandOverFailed.Log(err)
 	}
-	n.fleet.Leave(ctx, successor)
-	jylog.InstanceStopped.Log(cutOff)
+	return successor
 }
 
 func (n *Node) longestDeadline() time.Duration {
@@ -44,7 +55,7 @@
 }
 
 func (n *Node) waitIdle(ctx context.Context) {
-	for n.proxy.InProgress() > 0 || n.ledger.Stats().Running > 0 {
+	for n.proxy.InProgress() > 0 || n.requestIDs().Running > 0 {
 		if ctx.Err() != nil {
 			return
 		}
--- /dev/null
+++ b/internal/jynode/source.go
@@ -0,0 +1,86 @@
+package jynode
+
+import (
+	"github.com/jackdawyard/jackdawyard/internal/jydiscovery"
+	"github.com/jackdawyard/jackdawyard/internal/jykernel"
+	"github.com/jackdawyard/jackdawyard/internal/jypeer"
+	"github.com/jackdawyard/jackdawyard/internal/jyproxy"
+	"github.com/jackdawyard/jackdawyard/internal/jyrelease"
+	"github.com/jackdawyard/jackdawyard/internal/jysettings"
+	"github.com/jackdawyard/jackdawyard/pkg/jyblock"
+	"github.com/jackdawyard/jackdawyard/pkg/jynote"
+	"github.com/jackdawyard/jackdawyard/pkg/jyregistry"
+	jyhost "github.com/jackdawyard/jackdawyard/platform"
+)
+
+// source brings services, routes and backend servers into force.
+type source interface {
+	jykernel.Service
+	IsReady() bool
+	Mark() jypeer.Mark
+	Status() jyrelease.Status
+}
+
+// followsStore reports whether the instance follows the platform's store in place of release notes.
+func (n *Node) followsStore() bool { return n.settings.Source == jysettings.SourceStore }
+
+// storeSource shows a discovery as a source.
+type storeSource struct {
+	*jydiscovery.Discovery
+}
+
+// Mark returns the version of the configuration in force.
+func (s storeSource) Mark() jypeer.Mark { return jypeer.Mark{Number: s.Number()} }
+
+// Status returns what an operator sees.
+func (s storeSource) Status() jyrelease.Status {
+	return jyrelease.Status{Number: s.Number(), ServiceAway: s.IsAway()}
+}
+
+func (n *Node) makeDiscovery() {
+	n.source = storeSource{jydiscovery.New(jydiscovery.Config{
+		Store: jyhost.NewStore(n.settings.ConfigurationAddress), WatchWait: n.settings.WatchWait, OnState: n.applyRegistered,
+	})}
+}
+
+// applyRegistered puts a state in force whose backend servers registered themselves.
+func (n *Node) applyRegistered(s jynote.State, servers []jyregistry.Server) {
+	n.directory.Apply(s)
+	snapshot := n.directory.Snapshot()
+	for _, v := range servers {
+		if server := snapshot.Server(v.Service, v.Name()); server != nil {
+			server.SetColdUntil(v.ColdUntil)
+		}
+	}
+}
+
+func (n *Node) makeStoreProxy() {
+	n.proxy = jyproxy.New(jyproxy.Config{
+		Directory: n.directory,
+		Forwarder: jyproxy.NewForwarder(jyproxy.ForwarderConfig{
+			IdleProofOfLife: n.settings.IdleProofOfLife, SilentConnectionLag: n.settings.SilentConnectionLag,
+			OnEvidence: func(jynote.ServiceName) {}, Block: noBlock{},
+		}),
+		Recorder:       n.burn,
+		Limits:         n.limits(),
+		CallerHeader:   n.settings.CallerHeader,
+		MaxConcurrent:  n.settings.MaxConcurrent,
+		MaxAnswerBytes: n.settings.MaxAnswerBytes,
+		Dialect:        jyhost.Dialect(),
+	})
+}
+
+// noBlock blocks nothing.
+type noBlock struct{}
+
+// IsEmpty reports that nothing is under suspicion.
+func (noBlock) IsEmpty() bool { return true }
+
+// IsBlocked reports that the request may run.
+func (noBlock) IsBlocked(jyblock.Fingerprint) bool { return false }
+
+// Completed does nothing.
+func (noBlock) Completed(jyblock.Fingerprint) {}
+
+// Crashed does nothing.
+func (noBlock) Crashed(jyblock.Fingerprint, jyblock.ServerName, bool) {}
--- a/internal/jynode/status.go
+++ b/internal/jynode/status.go
@@ -55,7 +55,7 @@
 func (n *Node) Status() Status {
 	out := Status{
 		Instance: n.settings.Name, DataCentre: n.settings.DataCentre, Ready: n.isReady(), Draining: n.isDraining(),
-		InProgress: n.proxy.InProgress(), Release: n.release.Status(), RequestIDs: n.ledger.Stats(),
+		InProgress: n.proxy.InProgress(), Release: n.source.Status(), RequestIDs: n.requestIDs(),
 	}
 	for _, m := range n.fleet.Members() {
 		out.Members = append(out.Members, MemberStatus{Name: string(m.Name), DataCentre: m.DataCentre, Status: m.Status.String()})
@@ -83,6 +83,14 @@
 	return out
 }
 
+// requestIDs counts the request ids; there are none without a ledger.
+func (n *Node) requestIDs() jyledger.Stats {
+	if n.ledger == nil {
+		return jyledger.Stats{}
+	}
+	return n.ledger.Stats()
+}
+
 func (n *Node) isDraining() bool {
 	select {
 	case <-n.draining:
@@ -92,4 +100,4 @@
 	}
 }
 
-func (n *Node) isReady() bool { return n.release.IsReady() && !n.isDraining() }
+func (n *Node) isReady() bool { return n.source.IsReady() && !n.isDraining() }
--- a/internal/jyproxy/answer.go
+++ b/internal/jyproxy/answer.go
@@ -21,13 +21,21 @@
 	length int64     // declared length, or -1
 	// finish ends the attempt; complete says whether rest was read to its end.
 	finish func(complete bool)
+	// hasOutcome adds the outcome header.
+	hasOutcome bool
 }
 
 // write passes the answer on; an answer that ends early aborts the caller's connection.
 func (a *answer) write(w http.ResponseWriter, limit int64, head bool) {
 	h := w.Header()
 	copyHeaders(h, a.header)
-	h.Set(jyoutcome.Header, string(jyoutcome.Complete))
+	if a.hasOutcome {
+		h.Set(jyoutcome.Header, string(jyoutcome.Complete))
+	}
+	if h.Get("Content-Type") == "" {
+		// No type is guessed for a body that came without one.
+		h["Content-Type"] = nil
+	}
 	if a.rest == nil {
 		if !head && allowsBody(a.status) {
 			h.Set("Content-Length", strconv.Itoa(len(a.body)))
--- a/internal/jyproxy/attempt.go
+++ b/internal/jyproxy/attempt.go
@@ -106,6 +106,10 @@
 func (a *attempt) read(ctx context.Context, x exchange) (*answer, *jyretry.Failure) {
 	resp := x.response
 	a.noteMarks(resp)
+	if !a.request.dialect.isWhole(resp) {
+		a.server.Pool.Drop(x.connection)
+		return nil, a.lost(ctx, x.connection, errSpoilt)
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedAnswer+1))
 	if err != nil {
 		a.server.Pool.Drop(x.connection)
--- a/internal/jyproxy/exchange.go
+++ b/internal/jyproxy/exchange.go
@@ -37,7 +37,7 @@
 func (a *attempt) roundTrip(ctx context.Context, conn *jybackend.Connection) (exchange, error) {
 	// A process that was paused must not send what its caller has given up on.
 	now := time.Now()
-	out, err := a.request.outgoing(ctx, a.server.Info.Address, now)
+	out, err := a.request.outgoing(ctx, a.server.Info, now)
 	if err == nil && !now.Before(a.request.deadline) {
 		err = errNotSent
 	}
@@ -45,7 +45,7 @@
 		a.server.Pool.Drop(conn)
 		return exchange{}, err
 	}
-	resp, err := conn.RoundTrip(out)
+	resp, err := conn.RoundTrip(out, func(resp *http.Response) bool { return a.request.dialect.belongsTo(resp, a.request.header) })
 	if err != nil {
 		a.server.Pool.Drop(conn)
 		return exchange{}, err
@@ -56,6 +56,9 @@
 // errNotSent says that the deadline had passed before anything was sent.
 var errNotSent = errors.New("not sent: the deadline has passed")
 
+// errSpoilt says that an answer lacks what makes it the backend server's whole answer.
+var errSpoilt = errors.New("the answer is not whole")
+
 // hedge is a second copy of an idempotent request on a new connection to the same backend server.
 type hedge struct {
 	attempt     *attempt
--- a/internal/jyproxy/forwarder.go
+++ b/internal/jyproxy/forwarder.go
@@ -50,7 +50,7 @@
 		if f.isBlocked(r) {
 			return nil, f.refuse(r, jyoutcome.RequestBlocked)
 		}
-		server, err := r.service.Choose(now, jybackend.Need{Idempotent: r.match.Idempotent, Exclude: r.tried})
+		server, err := r.service.Choose(now, jybackend.Need{Idempotent: r.match.Idempotent, Exclude: r.tried, Objective: r.objective()})
 		if err != nil {
 			return nil, f.refuse(r, noServerReason(r.service))
 		}
@@ -71,11 +71,12 @@
 			f.crashed(r, server)
 		}
 		decision := jyretry.Decide(jyretry.Request{
-			Idempotent: r.match.Idempotent,
-			Replayable: r.replayable(),
-			Attempts:   r.attempts,
-			MayHaveRun: r.mayHaveRun,
-			Remaining:  time.Until(r.deadline),
+			Idempotent:  r.match.Idempotent,
+			Replayable:  r.replayable(),
+			Attempts:    r.attempts,
+			MaxAttempts: r.maxAttempts(),
+			MayHaveRun:  r.mayHaveRun,
+			Remaining:   time.Until(r.deadline),
 		}, *failure, r.service.TakeRetry)
 		if !decision.Retry {
 			return nil, &decision.Refusal
@@ -90,7 +91,7 @@
 		r.service.CreditSuccess()
 		return false
 	}
-	if !r.match.Idempotent || !r.replayable() || r.attempts >= jyretry.MaxAttempts || r.attempts >= len(r.service.Servers) {
+	if !r.match.Idempotent || !r.replayable() || r.attempts >= r.maxAttempts() || r.attempts >= len(r.service.Servers) {
 		return false
 	}
 	return r.service.TakeRetry()
--- a/internal/jyproxy/identified.go
+++ b/internal/jyproxy/identified.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"github.com/jackdawyard/jackdawyard/pkg/jydedup"
-	"github.com/jackdawyard/jackdawyard/pkg/jynote"
 	"github.com/jackdawyard/jackdawyard/pkg/jyoutcome"
+	"github.com/jackdawyard/jackdawyard/pkg/jyroute"
 )
 
 // maxIdentifiedAnswer bounds the answer to a request that carries a request id, since it travels whole.
@@ -98,12 +98,12 @@
 func (p *Proxy) Decide(ctx context.Context, in Relay) jydedup.Result {
 	r := &request{
 		method: in.Method, uri: in.URI, host: in.Host, header: in.Header, body: in.Body,
-		length: int64(len(in.Body)), caller: string(in.Caller), arrived: time.Now(),
+		length: int64(len(in.Body)), caller: string(in.Caller), arrived: time.Now(), dialect: &p.config.Dialect,
 	}
 	if refusal := p.route(r, pathOf(in.URI)); refusal != nil {
 		return p.unrouted(ctx, r, in.ID, refusal)
 	}
-	r.deadline = r.arrived.Add(min(in.Remaining, deadlineOf(r.match.Service)))
+	r.deadline = r.arrived.Add(min(in.Remaining, timeoutOf(r.match)))
 	ctx, cancel := context.WithDeadline(ctx, r.deadline)
 	defer cancel()
 	return p.owned(ctx, r, in.ID)
@@ -120,6 +120,11 @@
 	return d.Result
 }
 
-func deadlineOf(s jynote.Service) time.Duration {
-	return time.Duration(s.DeadlineMilliseconds) * time.Millisecond
+// timeoutOf returns how long a request on the route may take.
+func timeoutOf(m jyroute.Match) time.Duration {
+	limit := m.Service.DeadlineMilliseconds
+	if own := m.Route.TimeoutMilliseconds; own > 0 {
+		limit = min(limit, own)
+	}
+	return time.Duration(limit) * time.Millisecond
 }
--- a/internal/jyproxy/proxy.go
+++ b/internal/jyproxy/proxy.go
@@ -5,10 +5,12 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/url"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -16,6 +18,7 @@
 	"github.com/jackdawyard/jackdawyard/pkg/jydedup"
 	"github.com/jackdawyard/jackdawyard/pkg/jynote"
 	"github.com/jackdawyard/jackdawyard/pkg/jyoutcome"
+	"github.com/jackdawyard/jackdawyard/pkg/jyroute"
 )
 
 // Recorder takes the outcome of each request for the report on service-level burn.
@@ -25,12 +28,14 @@
 
 // Config sets up a Proxy.
 type Config struct {
-	Directory      *jybackend.Directory
-	Forwarder      *Forwarder
-	Ledger         Ledger
-	Relayer        Relayer
-	Recorder       Recorder
-	Limits         *Limits
+	Directory *jybackend.Directory
+	Forwarder *Forwarder
+	Ledger    Ledger
+	Relayer   Relayer
+	Recorder  Recorder
+	Limits    *Limits
+	// Dialect is the project's own where it is not set.
+	Dialect        Dialect
 	CallerHeader   string
 	MaxConcurrent  int
 	MaxAnswerBytes int64
@@ -43,7 +48,12 @@
 }
 
 // New returns a proxy.
-func New(c Config) *Proxy { return &Proxy{config: c} }
+func New(c Config) *Proxy {
+	if c.Dialect.Refuse == nil {
+		c.Dialect = OwnDialect()
+	}
+	return &Proxy{config: c}
+}
 
 // InProgress returns the requests that have begun and not ended.
 func (p *Proxy) InProgress() int64 { return p.inProgress.Load() }
@@ -54,24 +64,24 @@
 	defer p.inProgress.Add(-1)
 	remote, _, _ := net.SplitHostPort(in.RemoteAddr)
 	r := &request{
-		method: in.Method, uri: in.URL.RequestURI(), host: in.Host, header: in.Header,
+		method: in.Method, uri: uriOf(in), host: in.Host, header: in.Header, dialect: &p.config.Dialect,
 		caller: p.callerOf(in, remote), remote: remote, arrived: time.Now(),
 	}
 	if refusal := p.admit(r); refusal != nil {
-		_ = refusal.Write(w)
+		p.refuse(w, r, refusal)
 		return
 	}
 	defer p.config.Limits.End(r.caller)
-	if in.URL.Path == RequestIDPath {
+	if p.config.Dialect.OwnHeaders && in.URL.Path == RequestIDPath {
 		p.issue(w, in, r.caller)
 		return
 	}
-	refusal := p.route(r, in.URL.Path)
+	refusal := p.route(r, in.URL.EscapedPath())
 	if refusal == nil {
 		refusal = p.prepare(r, in)
 	}
 	if refusal != nil {
-		_ = refusal.Write(w)
+		p.refuse(w, r, refusal)
 		return
 	}
 	p.serve(w, in, r)
@@ -112,7 +122,7 @@
 			Detail: "No release note is in force yet.", RetryAfter: time.Second,
 		}
 	}
-	match, ok := snapshot.Routes.Find(r.method, path)
+	match, ok := snapshot.Routes.Find(jyroute.Request{Host: hostOf(r.host), Method: r.method, Path: path, Draw: rand.Float64()})
 	if !ok {
 		return &jyoutcome.Refusal{
 			Outcome: jyoutcome.NotRun, Reason: jyoutcome.NoRoute, Status: http.StatusNotFound,
@@ -121,7 +131,7 @@
 	}
 	r.match = match
 	r.service = snapshot.Service(match.Service.Name)
-	r.deadline = r.arrived.Add(deadlineOf(match.Service))
+	r.deadline = r.arrived.Add(timeoutOf(match))
 	return nil
 }
 
@@ -133,12 +143,12 @@
 			Detail: "Upgrades and tunnels are not served.",
 		}
 	}
-	if text := in.Header.Get(HeaderRemaining); text != "" {
+	if text := in.Header.Get(p.config.Dialect.Remaining); text != "" {
 		ms, err := strconv.ParseInt(text, 10, 64)
 		if err != nil || ms <= 0 {
 			return &jyoutcome.Refusal{
 				Outcome: jyoutcome.NotRun, Reason: jyoutcome.BadRequest, Status: http.StatusBadRequest,
-				Detail: HeaderRemaining + " must be a whole number above 0.",
+				Detail: p.config.Dialect.Remaining + " must be a whole number above 0.",
 			}
 		}
 		own := r.arrived.Add(time.Duration(min(ms, jynote.MaxDeadlineMilliseconds)) * time.Millisecond)
@@ -153,20 +163,22 @@
 	ctx, cancel := context.WithDeadline(in.Context(), r.deadline)
 	defer cancel()
 	key := r.header.Get(HeaderIdempotencyKey)
-	if !r.match.Idempotent {
+	hasIDs := p.config.Dialect.OwnHeaders && !r.match.Idempotent
+	if hasIDs {
 		w.Header().Set(HeaderNextRequestID, p.config.Ledger.Issue(jydedup.Caller(r.caller), 1)[0].String())
 	}
-	if key != "" && !r.match.Idempotent {
+	if key != "" && hasIDs {
 		p.serveIdentified(ctx, w, r, key)
 		return
 	}
 	a, refusal := p.config.Forwarder.forward(ctx, r)
 	if refusal != nil {
 		p.record(r, refusal.Outcome, refusal.Status)
-		_ = refusal.Write(w)
+		p.refuse(w, r, refusal)
 		return
 	}
 	p.record(r, jyoutcome.Complete, a.status)
+	a.hasOutcome = p.config.Dialect.OwnHeaders
 	a.write(w, p.config.MaxAnswerBytes, r.method == http.MethodHead)
 }
 
@@ -194,7 +206,7 @@
 		return
 	}
 	p.record(r, jyoutcome.Complete, result.Answer.Status)
-	a := &answer{status: result.Answer.Status, header: result.Answer.Header, body: result.Answer.Body}
+	a := &answer{hasOutcome: true, status: result.Answer.Status, header: result.Answer.Header, body: result.Answer.Body}
 	a.write(w, p.config.MaxAnswerBytes, r.method == http.MethodHead)
 }
 
@@ -244,6 +256,27 @@
 	_ = json.NewEncoder(w).Encode(out)
 }
 
+func (p *Proxy) refuse(w http.ResponseWriter, r *request, refusal *jyoutcome.Refusal) {
+	// The caller is gone if its refusal cannot be written.
+	_ = p.config.Dialect.Refuse(w, r.header, *refusal)
+}
+
+// uriOf returns the target of the request as the caller wrote it.
+func uriOf(in *http.Request) string {
+	if strings.HasPrefix(in.RequestURI, "/") && !strings.HasPrefix(in.RequestURI, "//") {
+		return in.RequestURI
+	}
+	return in.URL.RequestURI()
+}
+
+func hostOf(authority string) string {
+	host, _, err := net.SplitHostPort(authority)
+	if err != nil {
+		return authority
+	}
+	return host
+}
+
 func pathOf(uri string) string {
 	u, err := url.ParseRequestURI(uri)
 	if err != nil {
--- a/internal/jyproxy/request.go
+++ b/internal/jyproxy/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"crypto/sha256"
 	"io"
@@ -12,7 +13,9 @@
 	"github.com/jackdawyard/jackdawyard/internal/jybackend"
 	"github.com/jackdawyard/jackdawyard/pkg/jydedup"
 	"github.com/jackdawyard/jackdawyard/pkg/jyfault"
+	"github.com/jackdawyard/jackdawyard/pkg/jynote"
 	"github.com/jackdawyard/jackdawyard/pkg/jyoutcome"
+	"github.com/jackdawyard/jackdawyard/pkg/jyretry"
 	"github.com/jackdawyard/jackdawyard/pkg/jyroute"
 )
 
@@ -34,6 +37,7 @@
 	caller     string
 	remote     string // the IP number that the request came from; empty if it was relayed
 	match      jyroute.Match
+	dialect    *Dialect
 	service    *jybackend.Service
 	arrived    time.Time
 	deadline   time.Time
@@ -44,6 +48,14 @@
 
 func (r *request) replayable() bool { return r.stream == nil }
 
+// maxAttempts returns the number of backend servers that the request may be sent to.
+func (r *request) maxAttempts() int { return cmp.Or(r.match.Route.MaxAttempts, jyretry.MaxAttempts) }
+
+// objective returns the latency that the caller is promised.
+func (r *request) objective() time.Duration {
+	return time.Duration(cmp.Or(r.match.Route.ObjectiveMilliseconds, r.match.Service.Objective.LatencyMilliseconds)) * time.Millisecond
+}
+
 // bodyReader returns the body for one attempt.
 func (r *request) bodyReader() io.Reader {
 	if r.stream != nil {
@@ -56,19 +68,27 @@
 }
 
 // outgoing returns the request for one attempt.
-func (r *request) outgoing(ctx context.Context, address string, now time.Time) (*http.Request, error) {
-	out, err := http.NewRequestWithContext(ctx, r.method, "http://"+address+r.uri, r.bodyReader())
+func (r *request) outgoing(ctx context.Context, server jynote.BackendServer, now time.Time) (*http.Request, error) {
+	out, err := http.NewRequestWithContext(ctx, r.method, "http://"+server.Address+"/", r.bodyReader())
 	if err != nil {
 		return nil, jyfault.New("make request", Malformed, "%w", err)
 	}
+	// The target goes out as the caller wrote it.
+	out.URL.Opaque = r.uri
 	out.ContentLength = r.length
 	out.Host = r.host
 	out.Header = make(http.Header, len(r.header)+1)
 	copyHeaders(out.Header, r.header)
-	if r.remote != "" {
+	if _, named := out.Header["User-Agent"]; !named {
+		out.Header["User-Agent"] = nil
+	}
+	if r.remote != "" && r.dialect.OwnHeaders {
 		out.Header.Add(HeaderForwardedFor, r.remote)
 	}
-	out.Header.Set(HeaderRemaining, strconv.FormatInt(r.deadline.Sub(now).Milliseconds(), 10))
+	if r.dialect.ExpectedServer != "" {
+		out.Header.Set(r.dialect.ExpectedServer, cmp.Or(server.Identity, string(server.Name)))
+	}
+	out.Header.Set(r.dialect.Remaining, strconv.FormatInt(r.deadline.Sub(now).Milliseconds(), 10))
 	return out, nil
 }
 
--- a/internal/jysettings/key.go
+++ b/internal/jysettings/key.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/netip"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -107,6 +108,16 @@
 	}
 }
 
+func oneOf[T ~string](field func(*Settings) *T, allowed ...T) func(*Settings, string) error {
+	return func(s *Settings, v string) error {
+		if !slices.Contains(allowed, T(v)) {
+			return fmt.Errorf("%q is not known", v)
+		}
+		*field(s) = T(v)
+		return nil
+	}
+}
+
 func flag(field func(*Settings) *bool) func(*Settings, string) error {
 	return func(s *Settings, v string) error {
 		b, err := strconv.ParseBool(v)
--- a/internal/jysettings/load.go
+++ b/internal/jysettings/load.go
@@ -123,8 +123,8 @@
 	if s.SharedKey != "" && len(s.SharedKey) < minSharedKey {
 		add("SharedKey", "too short", "at least 16 characters")
 	}
-	if !withTLS && s.SharedKey == "" && !s.PlaintextLoopback {
-		add("SharedKey", "peers would be accepted unchecked", "a SharedKey, mutual TLS, or PlaintextLoopback = true")
+	if !withTLS && s.SharedKey == "" && !s.PlaintextLoopback && !s.PrivateNetwork {
+		add("SharedKey", "peers would be accepted unchecked", "a SharedKey, mutual TLS, PlaintextLoopback = true, or PrivateNetwork = true")
 	}
 	if s.PlaintextLoopback && !isLoopback(s.PeerAddress) {
 		add("PlaintextLoopback", "PeerAddress is not a loopback address", "false, or a loopback PeerAddress")
--- a/internal/jysettings/settings.go
+++ b/internal/jysettings/settings.go
@@ -2,6 +2,28 @@
 
 import "time"
 
+// Source is where services, routes and backend servers come from.
+type Source string
+
+// The sources.
+const (
+	// SourceNotes stands for the release notes of the configuration service.
+	SourceNotes Source = "Notes"
+	// SourceStore stands for the store of the platform, where backend servers register themselves.
+	SourceStore Source = "Store"
+)
+
+// Placing is how a backend server is chosen for a request.
+type Placing string
+
+// The ways of choosing.
+const (
+	// PlacingSlots prefers free slots among the servers that the fleet has not ejected.
+	PlacingSlots Placing = "Slots"
+	// PlacingLoss prefers the least expected loss, from the outcomes of the last seconds.
+	PlacingLoss Placing = "Loss"
+)
+
 // Settings are the checked settings of one instance.
 type Settings struct {
 	Name            string
@@ -14,6 +36,7 @@
 	AdvertisedAddress string
 	MemoryLimit       int64
 
+	Source               Source
 	ConfigurationAddress string
 	WatchWait            time.Duration
 	PollInterval         time.Duration
@@ -26,6 +49,7 @@
 	PrivateKeyFile    string
 	AuthorityFile     string
 	PlaintextLoopback bool
+	PrivateNetwork    bool
 	HeartbeatInterval time.Duration
 	PeerTimeout       time.Duration
 
@@ -38,6 +62,10 @@
 	MaxReplayBytes      int64
 	MaxKeptBytes        int64
 	RetryBudgetShare    float64
+	RetryBudgetSlack    int
+	Placing             Placing
+	MaxIdle             time.Duration
+	HeapGrowthPercent   int
 	ConnectTimeout      time.Duration
 	IdleProofOfLife     time.Duration
 	ReportInterval      time.Duration
--- /dev/null
+++ b/pkg/jybelief/belief.go
@@ -0,0 +1,59 @@
+package jybelief
+
+import (
+	"math"
+	"time"
+)
+
+// Rate is a number of events a second.
+type Rate float64
+
+// Config is the model of a server that turns gray and recovers.
+type Config struct {
+	// Onset is the rate at which a well server turns gray.
+	Onset Rate
+	// Recovery is the rate at which a gray server recovers.
+	Recovery Rate
+	// FailWell and FailGray are the chances that a request fails in each state.
+	FailWell float64
+	FailGray float64
+}
+
+// Belief is the chance that a server is gray, as of a moment; the zero value knows nothing.
+type Belief struct {
+	gray float64
+	at   time.Time
+}
+
+// Prior returns the chance that a server of which nothing is known is gray.
+func (c Config) Prior() float64 { return float64(c.Onset / (c.Onset + c.Recovery)) }
+
+// Gray returns the chance that the server is gray now.
+func (c Config) Gray(b Belief, now time.Time) float64 {
+	prior := c.Prior()
+	if b.at.IsZero() {
+		return prior
+	}
+	passed := max(0, now.Sub(b.at).Seconds())
+	return prior + (b.gray-prior)*math.Exp(-float64(c.Onset+c.Recovery)*passed)
+}
+
+// FailChance returns the chance that a request sent now fails.
+func (c Config) FailChance(b Belief, now time.Time) float64 {
+	gray := c.Gray(b, now)
+	return gray*c.FailGray + (1-gray)*c.FailWell
+}
+
+// Observe returns the belief after a request that ended now.
+func (c Config) Observe(b Belief, now time.Time, failed bool) Belief {
+	gray := c.Gray(b, now)
+	ifGray, ifWell := c.FailGray, c.FailWell
+	if !failed {
+		ifGray, ifWell = 1-ifGray, 1-ifWell
+	}
+	joint := gray * ifGray
+	if b.at.After(now) {
+		now = b.at
+	}
+	return Belief{gray: joint / (joint + (1-gray)*ifWell), at: now}
+}
--- a/pkg/jynote/backend_server.go
+++ b/pkg/jynote/backend_server.go
@@ -2,7 +2,9 @@
 
 // BackendServer describes one target: a backend server as one service uses it.
 type BackendServer struct {
-	Name       ServerName
+	Name ServerName
+	// Identity is what the server itself answers to, if that differs from Name; it says which server must run a request.
+	Identity   string `json:",omitempty"`
 	Service    ServiceName
 	Address    string
 	DataCentre DataCentreName
--- a/pkg/jynote/state.go
+++ b/pkg/jynote/state.go
@@ -14,7 +14,9 @@
 type State struct {
 	Number Number
 	// Digest identifies the whole sequence of notes since the last base note.
-	Digest         Digest
+	Digest Digest
+	// Revision counts the changes of BackendServers under one number, where servers register themselves.
+	Revision       uint64 `json:",omitempty"`
 	Services       []Service
 	BackendServers []BackendServer
 	Routes         []Route
@@ -25,6 +27,14 @@
 // Encode returns the state as JSON, for a peer that starts.
 func (s State) Encode() ([]byte, error) { return json.Marshal(s) }
 
+// IsAfter reports whether s may follow other: no number in force ever goes back.
+func (s State) IsAfter(other State) bool {
+	if s.Number != other.Number {
+		return s.Number > other.Number
+	}
+	return s.Revision > other.Revision
+}
+
 // DecodeState reads what Encode wrote.
 func DecodeState(raw []byte) (State, error) {
 	var s State
@@ -82,8 +92,10 @@
 		slots[b.Service] += b.Slots
 	}
 	for _, r := range s.Routes {
-		if _, ok := s.Service(r.Service); !ok {
-			fs.add("Routes "+string(r.Name), "a service in force", "service %q does not exist", r.Service)
+		for _, name := range r.Services() {
+			if _, ok := s.Service(name); !ok {
+				fs.add("Routes "+string(r.Name), "a service in force", "service %q does not exist", name)
+			}
 		}
 	}
 	for _, v := range s.Services {
--- a/pkg/jynote/validate.go
+++ b/pkg/jynote/validate.go
@@ -15,6 +15,9 @@
 	MaxConnections          = 100_000
 	MaxBodyBytesLimit       = 1 << 30
 	MaxServerDays           = 1_000_000
+	MaxAttemptsLimit        = 10
+	MaxPriority             = 100
+	MaxWeight               = 1_000_000
 )
 
 var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,127}$`)
@@ -90,11 +93,30 @@
 
 func (r Route) validate(place string, fs *Faults) {
 	checkName(place+".Name", string(r.Name), fs)
-	checkName(place+".Service", string(r.Service), fs)
+	r.validateServices(place, fs)
 	if !strings.HasPrefix(r.PathPrefix, "/") || strings.HasPrefix(r.PathPrefix, ReservedPrefix) {
 		fs.add(place+".PathPrefix", "starts with / and not with "+ReservedPrefix, "%q", r.PathPrefix)
 	}
 	checkMethods(place+".Methods", r.Methods, fs)
+	checkRange(place+".TimeoutMilliseconds", r.TimeoutMilliseconds, 0, MaxDeadlineMilliseconds, fs)
+	checkRange(place+".ObjectiveMilliseconds", r.ObjectiveMilliseconds, 0, MaxDeadlineMilliseconds, fs)
+	checkRange(place+".MaxAttempts", r.MaxAttempts, 0, MaxAttemptsLimit, fs)
+	checkRange(place+".Priority", r.Priority, 0, MaxPriority, fs)
+}
+
+func (r Route) validateServices(place string, fs *Faults) {
+	if len(r.Split) == 0 {
+		checkName(place+".Service", string(r.Service), fs)
+		return
+	}
+	if r.Service != "" {
+		fs.add(place+".Service", "Service or Split", "both are given")
+	}
+	for i, s := range r.Split {
+		part := fmt.Sprintf("%s.Split[%d]", place, i)
+		checkName(part+".Service", string(s.Service), fs)
+		checkRange(part+".Weight", s.Weight, 1, MaxWeight, fs)
+	}
 }
 
 // ReservedPrefix starts the paths that the instances answer themselves.
--- /dev/null
+++ b/pkg/jyplace/place.go
@@ -0,0 +1,77 @@
+package jyplace
+
+import "time"
+
+// Candidate is one backend server as one instance sees it.
+type Candidate struct {
+	// FailChance is the chance that the request fails there.
+	FailChance float64
+	// InFlight is the number of requests there, of all instances as far as known.
+	InFlight float64
+	Slots    int
+	// Slowdown is how many times longer than usual the server works, 1 where nothing is known.
+	Slowdown float64
+	// Distance is what the way there costs, as a share of a request's worth.
+	Distance float64
+	// IsExcluded marks a server that must not get the request.
+	IsExcluded bool
+}
+
+// Request is what a request asks for.
+type Request struct {
+	// Work is how long the service usually works on a request.
+	Work time.Duration
+	// Objective is the latency up to which an answer is worth most.
+	Objective time.Duration
+}
+
+// None is returned by Choose where all candidates are excluded.
+const None = -1
+
+// lateWorth is the share of its worth that an answer keeps beyond the objective.
+const lateWorth = 0.3
+
+// jitter spreads choices between candidates that are as good as equal.
+const jitter = 0.01
+
+// Loss returns the share of a request's worth that is expected to be lost at the candidate.
+func (c Candidate) Loss(r Request) float64 {
+	late := lateChance(c.latency(r), r.Objective)
+	served := (1 - c.FailChance) * (1 - late*(1-lateWorth))
+	return 1 - served + c.Distance
+}
+
+// latency returns how long the request is expected to take at the candidate.
+func (c Candidate) latency(r Request) time.Duration {
+	work := float64(r.Work) * c.Slowdown
+	ahead := max(0, c.InFlight+1-float64(c.Slots))
+	wait := work * ahead / float64(c.Slots)
+	return time.Duration(wait + work)
+}
+
+// lateChance is the chance that an answer which is expected after a time comes beyond the objective: the times of single
+// requests spread widely around what is expected.
+func lateChance(expected, objective time.Duration) float64 {
+	if objective <= 0 {
+		return 0
+	}
+	x := float64(expected) / float64(objective)
+	x *= x * x
+	return x / (1 + x)
+}
+
+// Choose returns the index of the candidate of least loss among n, or None; draw returns random numbers in [0, 1).
+func Choose(n int, at func(int) Candidate, r Request, draw func() float64) int {
+	best, least := None, 0.0
+	for i := range n {
+		c := at(i)
+		if c.IsExcluded {
+			continue
+		}
+		loss := c.Loss(r) + jitter*draw()
+		if best == None || loss < least {
+			best, least = i, loss
+		}
+	}
+	return best
+}
--- a/pkg/jyretry/policy.go
+++ b/pkg/jyretry/policy.go
@@ -1,13 +1,14 @@
 package jyretry
 
 import (
+	"cmp"
 	"net/http"
 	"time"
 
 	"github.com/jackdawyard/jackdawyard/pkg/jyoutcome"
 )
 
-// MaxAttempts bounds the attempts of one request, the first included.
+// MaxAttempts bounds the attempts of one request, the first included, where nothing else is asked for.
 const MaxAttempts = 3
 
 // Failure describes an attempt that brought no complete answer.
@@ -24,8 +25,10 @@
 	Idempotent bool
 	Replayable bool // its body is still at hand
 	Attempts   int  // attempts made
-	MayHaveRun bool // an earlier attempt may have run
-	Remaining  time.Duration
+	// MaxAttempts bounds them; 0 stands for the constant.
+	MaxAttempts int
+	MayHaveRun  bool // an earlier attempt may have run
+	Remaining   time.Duration
 }
 
 // Decision says what follows a failed attempt: a retry, or a refusal.
@@ -45,7 +48,7 @@
 }
 
 func mayRetry(r Request, f Failure) bool {
-	if r.Attempts >= MaxAttempts || r.Remaining <= 0 || !r.Replayable {
+	if r.Attempts >= cmp.Or(r.MaxAttempts, MaxAttempts) || r.Remaining <= 0 || !r.Replayable {
 		return false
 	}
 	if f.CertainlyNotRun {
--- a/pkg/jyroute/table.go
+++ b/pkg/jyroute/table.go
@@ -9,26 +9,37 @@
 
 // Match is the result of a look-up.
 type Match struct {
-	Route      jynote.RouteName
+	Route      jynote.Route
 	Service    jynote.Service
 	Idempotent bool
 }
 
+// Request is what decides about the route of a request.
+type Request struct {
+	Host   string
+	Method string
+	Path   string
+	// Draw in [0, 1) settles to which part of a split the request goes.
+	Draw float64
+}
+
 // Table is an immutable index of routes.
 type Table struct {
-	byPrefix map[string][]jynote.Route
+	byPlace  map[place][]jynote.Route
 	services map[jynote.ServiceName]jynote.Service
 }
 
+type place struct{ host, prefix string }
+
 // NewTable returns the index of the routes in force in s.
 func NewTable(s jynote.State) *Table {
 	t := &Table{
-		byPrefix: make(map[string][]jynote.Route, len(s.Routes)),
+		byPlace:  make(map[place][]jynote.Route, len(s.Routes)),
 		services: make(map[jynote.ServiceName]jynote.Service, len(s.Services)),
 	}
 	for _, r := range s.Routes {
-		prefix := strings.TrimSuffix(r.PathPrefix, "/")
-		t.byPrefix[prefix] = append(t.byPrefix[prefix], r)
+		p := place{r.Host, strings.TrimSuffix(r.PathPrefix, "/")}
+		t.byPlace[p] = append(t.byPlace[p], r)
 	}
 	for _, v := range s.Services {
 		t.services[v.Name] = v
@@ -36,12 +47,14 @@
 	return t
 }
 
-// Find returns the route whose prefix, cut at a slash, is the longest that fits the path and method.
-func (t *Table) Find(method, path string) (Match, bool) {
-	prefix := strings.TrimSuffix(path, "/")
+// Find returns the route whose prefix, cut at a slash, is the longest that fits the path, host and method.
+func (t *Table) Find(r Request) (Match, bool) {
+	prefix := strings.TrimSuffix(r.Path, "/")
 	for {
-		if m, ok := t.at(prefix, method); ok {
-			return m, true
+		for _, host := range []string{r.Host, ""} {
+			if m, ok := t.at(place{host, prefix}, r); ok {
+				return m, true
+			}
 		}
 		if prefix == "" {
 			return Match{}, false
@@ -50,17 +63,39 @@
 	}
 }
 
-func (t *Table) at(prefix, method string) (Match, bool) {
-	for _, r := range t.byPrefix[prefix] {
-		if len(r.Methods) > 0 && !slices.Contains(r.Methods, method) {
+func (t *Table) at(p place, r Request) (Match, bool) {
+	for _, route := range t.byPlace[p] {
+		if len(route.Methods) > 0 && !slices.Contains(route.Methods, r.Method) {
 			continue
 		}
-		s := t.services[r.Service]
-		return Match{Route: r.Name, Service: s, Idempotent: isIdempotent(r, s, method)}, true
+		if route.Host != "" && !strings.HasPrefix(r.Path, route.PathPrefix) {
+			continue
+		}
+		s := t.services[part(route, r.Draw)]
+		return Match{Route: route, Service: s, Idempotent: isIdempotent(route, s, r.Method)}, true
 	}
 	return Match{}, false
 }
 
+// part returns the service that the draw falls to, in proportion to the weights.
+func part(r jynote.Route, draw float64) jynote.ServiceName {
+	if len(r.Split) == 0 {
+		return r.Service
+	}
+	total := 0
+	for _, s := range r.Split {
+		total += s.Weight
+	}
+	left := draw * float64(total)
+	for _, s := range r.Split {
+		left -= float64(s.Weight)
+		if left < 0 {
+			return s.Service
+		}
+	}
+	return r.Split[len(r.Split)-1].Service
+}
+
 var defaultIdempotent = []string{"GET", "HEAD", "OPTIONS"}
 
 func isIdempotent(r jynote.Route, s jynote.Service, method string) bool {
--- a/pkg/jyroute/table_test.go
+++ b/pkg/jyroute/table_test.go
@@ -37,9 +37,9 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			m, ok := table.Find(tt.method, tt.path)
+			m, ok := table.Find(jyroute.Request{Method: tt.method, Path: tt.path})
 			require.True(t, ok)
-			assert.Equal(t, tt.want, m.Route)
+			assert.Equal(t, tt.want, m.Route.Name)
 			assert.Equal(t, tt.idempotent, m.Idempotent)
 		})
 	}
@@ -73,8 +73,8 @@
 		}
 		asked := path.Draw(t, "path")
 		want, found := naive(routes, strings.TrimSuffix(asked, "/"))
-		got, ok := jyroute.NewTable(state(routes...)).Find("GET", asked)
+		got, ok := jyroute.NewTable(state(routes...)).Find(jyroute.Request{Method: "GET", Path: asked})
 		require.Equal(t, found, ok)
-		require.Equal(t, want, got.Route)
+		require.Equal(t, want, got.Route.Name)
 	})
 }
