Tell peers of failures and load at once, and place by expected loss

Cause: each instance learned alone of gray servers, and took the wait in queues for the time of work, so that it sent up to 20 requests to one server of 4 slots. Ruled out: slow-down of nearly full servers (the median stays the same up to the slots).

--- a/internal/jybackend/directory.go
+++ b/internal/jybackend/directory.go
@@ -31,9 +31,11 @@
 
 // Directory holds the services and backend servers of the release note in force.
 type Directory struct {
-	config  Config
-	mu      sync.Mutex // serializes Apply
-	current atomic.Pointer[Snapshot]
+	config Config
+	mu     sync.Mutex // serializes Apply
+	// observer must be set before the first Apply, or not at all.
+	observer Observer
+	current  atomic.Pointer[Snapshot]
 }
 
 // Snapshot is what one release note put in force.
@@ -41,6 +43,7 @@
 	State    jynote.State
 	Routes   *jyroute.Table
 	services map[jynote.ServiceName]*Service
+	byHash   map[uint64]*Server
 }
 
 // NewDirectory returns a directory with nothing in force.
@@ -50,6 +53,9 @@
 	return d
 }
 
+// SetObserver sets who is told of each request; it must be called before the first Apply.
+func (d *Directory) SetObserver(o Observer) { d.observer = o }
+
 // Snapshot returns what is in force now.
 func (d *Directory) Snapshot() *Snapshot { return d.current.Load() }
 
@@ -67,6 +73,9 @@
 	return nil
 }
 
+// ByHash returns the backend server of that hash, or nil.
+func (s *Snapshot) ByHash(hash uint64) *Server { return s.byHash[hash] }
+
 // Service returns the service of that name, or nil.
 func (s *Snapshot) Service(name jynote.ServiceName) *Service { return s.services[name] }
 
@@ -88,7 +97,7 @@
 		return
 	}
 	servers := old.serversByName()
-	next := &Snapshot{State: state, Routes: jyroute.NewTable(state), services: map[jynote.ServiceName]*Service{}}
+	next := &Snapshot{State: state, Routes: jyroute.NewTable(state), services: map[jynote.ServiceName]*Service{}, byHash: map[uint64]*Server{}}
 	for _, v := range state.Services {
 		next.services[v.Name] = d.service(v, old.services[v.Name])
 	}
@@ -99,6 +108,7 @@
 		}
 		v := next.services[b.Service]
 		v.Servers = append(v.Servers, s)
+		next.byHash[s.Hash()] = s
 	}
 	near := map[jynote.DataCentreName]bool{}
 	for _, b := range state.BackendServers {
@@ -146,8 +156,8 @@
 
 func (d *Directory) service(info jynote.Service, old *Service) *Service {
 	v := &Service{
-		Info: info, latency: newLatency(), byLoss: d.config.ByLoss, dataCentre: d.config.DataCentre,
-		budget: jyretry.NewBudget(d.config.RetryBudgetShare),
+		Info: info, latency: newLatency(), byLoss: d.config.ByLoss, dataCentre: d.config.DataCentre, slack: d.slack, observer: d.observer,
+		budget: jyretry.NewBudget(d.budget()),
 	}
 	v.plan = func(servers, connections int) jysubset.Plan {
 		return jysubset.PlanFor(d.config.Instances(), servers, connections)
@@ -158,6 +168,18 @@
 	return v
 }
 
+// budget is this instance's part of the fleet's retries.
+func (d *Directory) budget() jyretry.BudgetConfig {
+	return jyretry.BudgetConfig{Share: d.config.RetryBudgetShare, Slack: d.slack(), Window: retryWindow}
+}
+
+func (d *Directory) slack() float64 {
+	return float64(d.config.RetryBudgetSlack) / float64(max(1, d.config.Instances()))
+}
+
+// retryWindow is the time in which the slack of the retry budget may be used.
+const retryWindow = 10 * time.Second
+
 func (d *Directory) server(info jynote.BackendServer, old *Server) *Server {
 	if old != nil && old.Info == info {
 		return old
--- a/internal/jybackend/latency.go
+++ b/internal/jybackend/latency.go
@@ -13,18 +13,21 @@
 	slowFactor = 1.6
 	// slowAfter is the number of answers before any counts as slow.
 	slowAfter = 100
+	// workMemory is the number of answers over which the time of work is averaged.
+	workMemory = 50
 )
 
 // latency tracks how long a service's answers take, whichever backend server gives them.
 type latency struct {
-	mu     sync.Mutex
-	middle *jyquantile.Estimator
-	high   *jyquantile.Estimator
-	tail   *jyquantile.Estimator
+	mu    sync.Mutex
+	work  time.Duration // mean time of the answers that did not wait for a slot
+	works int           // answers that it is the mean of, up to workMemory
+	high  *jyquantile.Estimator
+	tail  *jyquantile.Estimator
 }
 
 func newLatency() *latency {
-	return &latency{middle: jyquantile.New(0.5, firstEstimate), high: jyquantile.New(0.8, firstEstimate), tail: jyquantile.New(0.99, firstEstimate)}
+	return &latency{high: jyquantile.New(0.8, firstEstimate), tail: jyquantile.New(0.99, firstEstimate)}
 }
 
 // add takes an answer's latency and reports whether it was slow for the service.
@@ -32,17 +35,27 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	slow := l.high.Count() >= slowAfter && float64(d) > slowFactor*float64(l.high.Value())
-	l.middle.Add(d)
 	l.high.Add(d)
 	l.tail.Add(d)
 	return slow
 }
 
-// middleValue returns the median.
-func (l *latency) middleValue() time.Duration {
+// addWork takes the latency of an answer that did not wait for a slot.
+func (l *latency) addWork(d time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.middle.Value()
+	l.works = min(workMemory, l.works+1)
+	l.work += (d - l.work) / time.Duration(l.works)
+}
+
+// workValue returns how long the service works on a request, or otherwise where nothing is known.
+func (l *latency) workValue(otherwise time.Duration) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.works == 0 {
+		return otherwise
+	}
+	return l.work
 }
 
 // tailValue returns the 99th percentile.
--- a/internal/jybackend/server.go
+++ b/internal/jybackend/server.go
@@ -4,6 +4,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/jackdawyard/jackdawyard/pkg/jydetector"
 	"github.com/jackdawyard/jackdawyard/pkg/jynote"
 	"github.com/jackdawyard/jackdawyard/pkg/jyretry"
@@ -21,6 +23,7 @@
 	lost     atomic.Int32 // connections lost in a row
 	passOver atomic.Int64 // until when others are preferred, in nanoseconds since the epoch
 	health   health
+	hearsay  hearsay
 }
 
 // ConnectionLost makes this instance prefer other servers for a while, which grows while connections go on being lost.
@@ -64,8 +67,21 @@
 	Neutral Result = "Neutral"
 )
 
+// Observer is told of each request at a server.
+type Observer interface {
+	Started(s *Server)
+	Ended(s *Server, r Result)
+}
+
+// Hash identifies the server in signals between instances.
+func (s *Server) Hash() uint64 { return xxhash.Sum64String(string(s.Info.Name)) }
+
 // Record counts a finished attempt and reports whether it was a failure.
-func (v *Service) Record(s *Server, r Result, latency time.Duration) bool {
+func (v *Service) Record(p Placement, r Result, latency time.Duration) bool {
+	s := p.Server
+	if v.observer != nil {
+		defer v.observer.Ended(s, r)
+	}
 	switch r {
 	case Neutral:
 		return false
@@ -78,6 +94,9 @@
 		s.lost.Store(0)
 		s.attempts.Add(1)
 		s.health.observe(time.Now(), false)
+		if p.HasSlot {
+			v.latency.addWork(latency)
+		}
 		if v.latency.add(latency) {
 			s.slow.Add(1)
 		}
--- a/internal/jybackend/service.go
+++ b/internal/jybackend/service.go
@@ -29,6 +29,7 @@
 	// byLoss says that servers are chosen by expected loss, as seen from dataCentre.
 	byLoss     bool
 	dataCentre string
+	observer   Observer
 	// view holds the seats that this instance uses, and all those of the whole service.
 	view   atomic.Pointer[[]seat]
 	all    atomic.Pointer[[]seat]
@@ -36,6 +37,7 @@
 	most   atomic.Int32 // requests in flight at one server
 	mu     sync.Mutex   // guards what follows
 	budget *jyretry.Budget
+	slack  func() float64
 	fleet  []jydetector.Verdict
 	local  []jydetector.Verdict
 }
@@ -64,7 +66,10 @@
 func (v *Service) TakeRetry() bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.budget.Take()
+	if slack := v.slack(); slack > 0 {
+		v.budget.SetSlack(slack)
+	}
+	return v.budget.Take(time.Now())
 }
 
 // Need says what a request asks of a backend server.
@@ -73,10 +78,19 @@
 	Exclude    []*Server // tried already
 	// Objective is the latency up to which the answer is worth most.
 	Objective time.Duration
+	// IsRepeatable says that the request may be sent to another server if this one fails it.
+	IsRepeatable bool
+}
+
+// Placement is the backend server that was chosen for an attempt.
+type Placement struct {
+	Server *Server
+	// HasSlot says that a slot seemed free, so that the request is worked on at once.
+	HasSlot bool
 }
 
 // Choose picks a backend server and counts the request in flight there until Release; its error is of kind NoServer.
-func (v *Service) Choose(now time.Time, n Need) (*Server, error) {
+func (v *Service) Choose(now time.Time, n Need) (Placement, error) {
 	if v.byLoss {
 		return v.chooseByLoss(now, n)
 	}
@@ -90,11 +104,11 @@
 		}
 		s := seats[i].server
 		if int(s.inFlight.Add(1)) <= v.limit(s) {
-			return s, nil
+			return Placement{Server: s, HasSlot: true}, nil
 		}
 		s.inFlight.Add(-1)
 	}
-	return nil, jyfault.New("choose backend server", NoServer, "service %s", v.Info.Name)
+	return Placement{}, jyfault.New("choose backend server", NoServer, "service %s", v.Info.Name)
 }
 
 // Release ends a request that Choose counted.
--- a/internal/jycommand/serve.go
+++ b/internal/jycommand/serve.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"os"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
 
 	"github.com/urfave/cli/v3"
 
@@ -35,6 +38,12 @@
 			if err != nil {
 				return err
 			}
+			reload := make(chan os.Signal, 1)
+			signal.Notify(reload, syscall.SIGHUP)
+			defer signal.Stop(reload)
+			if err := node.WatchSettings(c.String("settings"), reload); err != nil {
+				return err
+			}
 			return node.Run(ctx)
 		},
 	}
--- a/internal/jyexperiment/slots.go
+++ b/internal/jyexperiment/slots.go
@@ -108,7 +108,7 @@
 		goodBySecond: make([]int, int(c.Time/time.Second)+2),
 	}
 	for range c.Instances {
-		s.budgets = append(s.budgets, jyretry.NewBudget(retryShare))
+		s.budgets = append(s.budgets, jyretry.NewBudget(jyretry.BudgetConfig{Share: retryShare}))
 	}
 	s.policy = newSlotPolicy(s)
 	s.after(0, s.arrive)
@@ -193,7 +193,7 @@
 // shed retries a refused request at another target if the budget allows.
 func (s *slotSim) shed(r *slotRequest) {
 	s.policy.done(r)
-	if len(r.tried) < jyretry.MaxAttempts && s.now-r.arrived < s.c.Deadline && s.budgets[r.instance].Take() {
+	if len(r.tried) < jyretry.MaxAttempts && s.now-r.arrived < s.c.Deadline && s.budgets[r.instance].Take(time.Time{}) {
 		s.policy.start(r)
 	}
 }
--- a/internal/jyfleet/fleet.go
+++ b/internal/jyfleet/fleet.go
@@ -49,11 +49,12 @@
 	mu     sync.Mutex
 	table  *jymember.Table
 	asked  int
+	seeds  []string
 }
 
 // New returns a fleet of one.
 func New(c Config) *Fleet {
-	return &Fleet{config: c, table: jymember.NewTable(jymember.Config{
+	return &Fleet{config: c, seeds: c.Seeds, table: jymember.NewTable(jymember.Config{
 		SuspectTime:      suspectIntervals * c.Interval,
 		DeadMemory:       deadMemory,
 		SuccessionMemory: c.Memory,
@@ -112,16 +113,26 @@
 
 // join asks the seeds while this instance knows no other.
 func (f *Fleet) join(ctx context.Context) {
-	if len(f.config.Seeds) == 0 || f.WorkingCount() > 1 {
+	if f.WorkingCount() > 1 {
 		return
 	}
-	for _, address := range f.config.Seeds {
+	f.mu.Lock()
+	seeds := f.seeds
+	f.mu.Unlock()
+	for _, address := range seeds {
 		if address != f.config.Self.Address {
 			go f.beat(ctx, jymember.Member{Address: address})
 		}
 	}
 }
 
+// SetSeeds replaces the addresses that are asked while no other instance is known.
+func (f *Fleet) SetSeeds(seeds []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.seeds = seeds
+}
+
 // beat sends one heartbeat and reports whether it was answered.
 func (f *Fleet) beat(ctx context.Context, to jymember.Member) bool {
 	ctx, cancel := context.WithTimeout(ctx, f.config.Timeout)
--- a/internal/jylog/catalogue.go
+++ b/internal/jylog/catalogue.go
@@ -18,6 +18,8 @@
 	InstanceDraining = define(102, Info, "instance draining", "None; it ends when its requests have ended.", "InProgress")
 	InstanceStopped  = define(103, Info, "instance stopped", "None.", "CutOff")
 	PauseDetected    = define(104, Alarm, "process was paused", "Look for an overloaded or frozen machine.", "PauseMilliseconds")
+	SettingsReloaded = define(106, Info, "settings read again", "Seeds are in force now; what else changed is at the next start.", "Changed")
+	SettingsRefused  = define(107, Alarm, "changed settings refused", "Correct the file; the former settings stay in force.", "Cause")
 	ServiceFailed    = define(105, Alarm, "service failed", "Read the cause; the instance stops.", "Cause")
 
 	NoteApplied         = define(200, Info, "release note in force", "None.", "Number", "Digest", "Source")
@@ -45,6 +47,8 @@
 	MemberLeft    = define(403, Info, "instance left", "None.", "Instance")
 	PeerRefused   = define(404, Alarm, "peer call refused: wrong key", "Give all instances the same SharedKey.", "Remote")
 
+	SignalUnreadable = define(405, Alarm, "signal of a peer cannot be read or sent", "Look for a foreign sender at the signal port.", "Cause")
+
 	HandOverDone   = define(500, Info, "request ids handed over", "None.", "Successor", "Records")
 	HandOverFailed = define(501, Alarm, "request ids not handed over", "Resends of the last minutes are answered Unknown.", "Cause")
 	HandOverTaken  = define(502, Info, "request ids taken over", "None.", "From", "Records")
--- a/internal/jynode/node.go
+++ b/internal/jynode/node.go
@@ -5,6 +5,8 @@
 	"context"
 	"crypto/rand"
 	"fmt"
+	"net"
+	"strconv"
 	"time"
 
 	"github.com/jackdawyard/jackdawyard/internal/jybackend"
@@ -21,6 +23,7 @@
 	"github.com/jackdawyard/jackdawyard/internal/jyrelease"
 	"github.com/jackdawyard/jackdawyard/internal/jyreport"
 	"github.com/jackdawyard/jackdawyard/internal/jysettings"
+	"github.com/jackdawyard/jackdawyard/internal/jysignal"
 	"github.com/jackdawyard/jackdawyard/pkg/jydedup"
 	"github.com/jackdawyard/jackdawyard/pkg/jyfault"
 	"github.com/jackdawyard/jackdawyard/pkg/jylimit"
@@ -35,6 +38,8 @@
 	ServiceSource    jykernel.Name = "Source"
 	ServiceInstances jykernel.Name = "InstanceList"
 	ServiceEvidence  jykernel.Name = "Evidence"
+	ServiceSignals   jykernel.Name = "Signals"
+	ServiceSettings  jykernel.Name = "Settings"
 	ServiceOperators jykernel.Name = "Operators"
 	ServiceGauges    jykernel.Name = "Gauges"
 	ServiceCallers   jykernel.Name = "Callers"
@@ -63,6 +68,7 @@
 	proxy    *jyproxy.Proxy
 	metrics  *jymetric.Metrics
 	burn     *jyreport.Burn
+	signals  *jysignal.Signals // nil without a port for signals
 	callers  *callerServer
 	draining chan struct{} // closed when the instance begins to leave
 }
@@ -92,6 +98,9 @@
 		n.makeDiscovery()
 		n.makeFleet(clients, func(string, jypeer.Mark) {})
 		n.makeStoreProxy()
+		if err := n.makeSignals(); err != nil {
+			return nil, err
+		}
 		return n, n.register(credentials)
 	}
 	if err := n.makeLedger(); err != nil {
@@ -167,6 +176,24 @@
 	n.relay.SetDecider(n.proxy)
 }
 
+func (n *Node) makeSignals() error {
+	if n.settings.SignalPort == 0 {
+		return nil
+	}
+	host, _, err := net.SplitHostPort(n.settings.PeerAddress)
+	if err != nil {
+		return jyfault.New("make signals", NoAddress, "%w", err)
+	}
+	n.signals, err = jysignal.New(jysignal.Config{
+		Listen: net.JoinHostPort(host, strconv.Itoa(n.settings.SignalPort)), Fleet: n.fleet, Directory: n.directory,
+	})
+	if err != nil {
+		return err
+	}
+	n.directory.SetObserver(n.signals)
+	return nil
+}
+
 func (n *Node) limits() *jyproxy.Limits {
 	s := n.settings
 	return jyproxy.NewLimits(jylimit.Config{Rate: s.CallerRate, Burst: s.CallerBurst, Concurrency: s.CallerConcurrency, MaxCallers: maxCallers})
@@ -206,6 +233,9 @@
 			namedService{ServiceInstances, jyrelease.ListWatch{Release: n.release}},
 			namedService{ServiceEvidence, n.evidence})
 	}
+	if n.signals != nil {
+		services = append(services, namedService{ServiceSignals, n.signals})
+	}
 	for _, v := range services {
 		if err := n.kernel.Register(v.name, v.service); err != nil {
 			return err
--- a/internal/jyproxy/attempt.go
+++ b/internal/jyproxy/attempt.go
@@ -18,8 +18,10 @@
 	forwarder *Forwarder
 	request   *request
 	server    *jybackend.Server
+	placement jybackend.Placement
 	started   time.Time
 	cancel    context.CancelFunc // of the copy that is answered
+	wasSent   bool
 }
 
 // run sends the request and returns the answer, or what became of it; it ends the attempt unless the answer still streams.
@@ -31,6 +33,7 @@
 	if err != nil {
 		return nil, a.notConnected(ctx, err)
 	}
+	a.wasSent = true
 	x, err := a.exchange(ctx, first, conn)
 	if err != nil {
 		return nil, a.lost(ctx, conn, err)
@@ -170,7 +173,7 @@
 func (a *attempt) end(r jybackend.Result) {
 	a.cancel()
 	a.server.Release()
-	if a.request.service.Record(a.server, r, time.Since(a.started)) {
+	if a.request.service.Record(a.placement, r, time.Since(a.started)) {
 		a.forwarder.config.OnEvidence(a.request.match.Service.Name)
 	}
 }
--- a/internal/jyproxy/exchange.go
+++ b/internal/jyproxy/exchange.go
@@ -79,6 +79,9 @@
 	if !ok {
 		return
 	}
+	if !h.attempt.request.service.TakeRetry() {
+		return
+	}
 	pool := h.attempt.server.Pool
 	conn, err := pool.Open(ctx, time.Now())
 	if err != nil {
--- a/internal/jyproxy/forwarder.go
+++ b/internal/jyproxy/forwarder.go
@@ -50,14 +50,17 @@
 		if f.isBlocked(r) {
 			return nil, f.refuse(r, jyoutcome.RequestBlocked)
 		}
-		server, err := r.service.Choose(now, jybackend.Need{Idempotent: r.match.Idempotent, Exclude: r.tried, Objective: r.objective()})
+		placement, err := r.service.Choose(now, jybackend.Need{Idempotent: r.match.Idempotent, Exclude: r.tried, Objective: r.objective(), IsRepeatable: r.isRepeatable()})
 		if err != nil {
 			return nil, f.refuse(r, noServerReason(r.service))
 		}
-		r.attempts++
+		server := placement.Server
 		r.tried = append(r.tried, server)
-		a := &attempt{forwarder: f, request: r, server: server}
+		a := &attempt{forwarder: f, request: r, server: server, placement: placement}
 		out, failure := a.run(ctx)
+		if a.wasSent {
+			r.attempts++
+		}
 		if failure == nil && f.retriesAnswer(r, out) {
 			out.discard()
 			r.mayHaveRun = true
--- a/internal/jyproxy/request.go
+++ b/internal/jyproxy/request.go
@@ -51,6 +51,11 @@
 // maxAttempts returns the number of backend servers that the request may be sent to.
 func (r *request) maxAttempts() int { return cmp.Or(r.match.Route.MaxAttempts, jyretry.MaxAttempts) }
 
+// isRepeatable reports whether the request may be sent once more if the next attempt fails.
+func (r *request) isRepeatable() bool {
+	return r.match.Idempotent && r.replayable() && r.attempts+1 < r.maxAttempts()
+}
+
 // objective returns the latency that the caller is promised.
 func (r *request) objective() time.Duration {
 	return time.Duration(cmp.Or(r.match.Route.ObjectiveMilliseconds, r.match.Service.Objective.LatencyMilliseconds)) * time.Millisecond
--- a/internal/jysettings/settings.go
+++ b/internal/jysettings/settings.go
@@ -50,6 +50,7 @@
 	AuthorityFile     string
 	PlaintextLoopback bool
 	PrivateNetwork    bool
+	SignalPort        int
 	HeartbeatInterval time.Duration
 	PeerTimeout       time.Duration
 
--- a/pkg/jybelief/belief.go
+++ b/pkg/jybelief/belief.go
@@ -28,6 +28,9 @@
 // Prior returns the chance that a server of which nothing is known is gray.
 func (c Config) Prior() float64 { return float64(c.Onset / (c.Onset + c.Recovery)) }
 
+// IsNew reports whether nothing was ever observed of the server.
+func (b Belief) IsNew() bool { return b.at.IsZero() }
+
 // Gray returns the chance that the server is gray now.
 func (c Config) Gray(b Belief, now time.Time) float64 {
 	prior := c.Prior()
--- a/pkg/jyplace/place.go
+++ b/pkg/jyplace/place.go
@@ -1,6 +1,9 @@
 package jyplace
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Candidate is one backend server as one instance sees it.
 type Candidate struct {
@@ -13,6 +16,8 @@
 	Slowdown float64
 	// Distance is what the way there costs, as a share of a request's worth.
 	Distance float64
+	// IsNew marks a server nearby that nobody has tried: it is tried soon, so that what was added is used.
+	IsNew bool
 	// IsExcluded marks a server that must not get the request.
 	IsExcluded bool
 }
@@ -23,6 +28,8 @@
 	Work time.Duration
 	// Objective is the latency up to which an answer is worth most.
 	Objective time.Duration
+	// IsRepeatable says that another server may be tried if this one fails the request.
+	IsRepeatable bool
 }
 
 // None is returned by Choose where all candidates are excluded.
@@ -31,13 +38,29 @@
 // lateWorth is the share of its worth that an answer keeps beyond the objective.
 const lateWorth = 0.3
 
+// exploration is the part of a chance to fail that counts: what a server of which little is known answers is worth knowing.
+const exploration = 0.5
+
+// repetition is the part of a chance to fail that counts where another server may be tried.
+const repetition = 0.3
+
+// spread says how sharply answers turn late as the expected latency nears the objective.
+const spread = 5
+
 // jitter spreads choices between candidates that are as good as equal.
 const jitter = 0.01
 
 // Loss returns the share of a request's worth that is expected to be lost at the candidate.
 func (c Candidate) Loss(r Request) float64 {
 	late := lateChance(c.latency(r), r.Objective)
-	served := (1 - c.FailChance) * (1 - late*(1-lateWorth))
+	if c.IsNew && c.InFlight == 0 {
+		return 0
+	}
+	fail := c.FailChance * exploration
+	if r.IsRepeatable {
+		fail *= repetition
+	}
+	served := (1 - fail) * (1 - late*(1-lateWorth))
 	return 1 - served + c.Distance
 }
 
@@ -56,7 +79,7 @@
 		return 0
 	}
 	x := float64(expected) / float64(objective)
-	x *= x * x
+	x = math.Pow(x, spread)
 	return x / (1 + x)
 }
 
--- a/pkg/jyretry/policy_test.go
+++ b/pkg/jyretry/policy_test.go
@@ -49,13 +49,13 @@
 func TestRetriesStayWithinTheirShareOfSuccesses(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const share = 0.2
-		b := jyretry.NewBudget(share)
+		b := jyretry.NewBudget(jyretry.BudgetConfig{Share: share})
 		successes, retries := 0, 0
 		for range rapid.IntRange(1, 500).Draw(t, "steps") {
 			if rapid.Bool().Draw(t, "success") {
 				b.Success()
 				successes++
-			} else if b.Take() {
+			} else if b.Take(time.Time{}) {
 				retries++
 			}
 			require.LessOrEqual(t, float64(retries), 1+share*float64(successes)+1e-6)
@@ -64,16 +64,46 @@
 }
 
 func TestTotalFailureBringsOneRetryAtMost(t *testing.T) {
-	b := jyretry.NewBudget(0.2)
+	b := jyretry.NewBudget(jyretry.BudgetConfig{Share: 0.2})
 	retries := 0
 	for range 1000 {
-		if b.Take() {
+		if b.Take(time.Time{}) {
 			retries++
 		}
 	}
 	assert.LessOrEqual(t, retries, 1)
 }
 
+func TestRetriesStayWithinShareAndSlackInAnyWindow(t *testing.T) {
+	const window = 10 * time.Second
+	rapid.Check(t, func(t *rapid.T) {
+		c := jyretry.BudgetConfig{Share: 0.2, Slack: rapid.Float64Range(2, 60).Draw(t, "slack"), Window: window}
+		b := jyretry.NewBudget(c)
+		now := time.Unix(1_000_000, 0)
+		var successes, retries []time.Time
+		for range rapid.IntRange(1, 300).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 500).Draw(t, "ms")) * time.Millisecond)
+			if rapid.Bool().Draw(t, "success") {
+				b.Success()
+				successes = append(successes, now)
+			} else if b.Take(now) {
+				retries = append(retries, now)
+			}
+		}
+		since := func(list []time.Time, from time.Time) (count float64) {
+			for _, at := range list {
+				if !at.Before(from) && at.Before(from.Add(window)) {
+					count++
+				}
+			}
+			return count
+		}
+		for _, from := range retries {
+			require.LessOrEqual(t, since(retries, from), c.Slack+c.Share*since(successes, from)+1e-6)
+		}
+	})
+}
+
 func TestBackoffGrowsToItsBound(t *testing.T) {
 	assert.Equal(t, jyretry.FirstBackoff, jyretry.Backoff(1))
 	assert.Equal(t, 2*jyretry.FirstBackoff, jyretry.Backoff(2))
