--- a/internal/jybackend/directory.go
+++ b/internal/jybackend/directory.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/jackdawyard/jackdawyard/pkg/jybelief"
 	"github.com/jackdawyard/jackdawyard/pkg/jydetector"
 	"github.com/jackdawyard/jackdawyard/pkg/jynote"
 	"github.com/jackdawyard/jackdawyard/pkg/jyretry"
@@ -73,8 +74,33 @@
 	return nil
 }
 
-// ByHash returns the backend server of that hash, or nil.
-func (s *Snapshot) ByHash(hash uint64) *Server { return s.byHash[hash] }
+// Hear takes what another instance tells of the server of that hash.
+func (s *Snapshot) Hear(now time.Time, hash uint64, from Reporter, h Heard) {
+	server := s.byHash[hash]
+	if server == nil {
+		return
+	}
+	server.hear(now, from, h)
+	if h.IsNear {
+		s.services[server.Info.Service].coverage.observe(now, Finished{Served: h.Outcomes[jybelief.Answered], Unserved: h.Unserved})
+	}
+}
+
+// HearFinished takes what became of requests for the service of that hash in another data centre.
+func (s *Snapshot) HearFinished(now time.Time, hash uint64, f Finished) {
+	for _, v := range s.services {
+		if v.Hash() == hash {
+			v.coverage.observeFar(now, f)
+		}
+	}
+}
+
+// HearView takes what the instances in another data centre believe of the server of that hash.
+func (s *Snapshot) HearView(now time.Time, hash uint64, load int, gray float64) {
+	if server := s.byHash[hash]; server != nil {
+		server.hearView(now, load, gray)
+	}
+}
 
 // Service returns the service of that name, or nil.
 func (s *Snapshot) Service(name jynote.ServiceName) *Service { return s.services[name] }
@@ -157,13 +183,13 @@
 func (d *Directory) service(info jynote.Service, old *Service) *Service {
 	v := &Service{
 		Info: info, latency: newLatency(), byLoss: d.config.ByLoss, dataCentre: d.config.DataCentre, slack: d.slack, observer: d.observer,
-		budget: jyretry.NewBudget(d.budget()),
+		budget: jyretry.NewBudget(d.budget()), coverage: newCoverage(),
 	}
 	v.plan = func(servers, connections int) jysubset.Plan {
 		return jysubset.PlanFor(d.config.Instances(), servers, connections)
 	}
 	if old != nil {
-		v.latency, v.budget = old.latency, old.budget
+		v.latency, v.budget, v.coverage = old.latency, old.budget, old.coverage
 	}
 	return v
 }
--- a/internal/jybackend/hearsay.go
+++ b/internal/jybackend/hearsay.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/jackdawyard/jackdawyard/pkg/jybelief"
 )
 
 // loadMemory is how long the load that another instance told of is counted without news.
@@ -17,15 +19,20 @@
 
 // Heard is what another instance tells of a server.
 type Heard struct {
-	InFlight int // requests of that instance at the server now
-	Answered int // since its last report
-	Failed   int // since its last report
+	InFlight int             // requests of that instance at the server now
+	Outcomes jybelief.Counts // since its last report
+	Unserved uint32          // requests that ended unserved since its last report
+	// IsNear says that the instance is in the same data centre as this one.
+	IsNear bool
 }
 
 // hearsay holds the load that other instances told of.
 type hearsay struct {
 	mu   sync.Mutex
 	load map[string]reportedLoad
+	// total is the load as another data centre sees it, as of viewed.
+	total  int
+	viewed time.Time
 }
 
 type reportedLoad struct {
@@ -34,17 +41,49 @@
 	at       time.Time
 }
 
-// Hear takes what another instance tells of the server.
-func (s *Server) Hear(now time.Time, from Reporter, h Heard) {
+// hear takes what another instance tells of the server.
+func (s *Server) hear(now time.Time, from Reporter, h Heard) {
 	s.hearsay.set(now, from, h.InFlight)
-	for range h.Answered {
-		s.health.observe(now, false)
+	if h.InFlight > 0 || h.Outcomes != (jybelief.Counts{}) {
+		s.markUsed(now)
+	}
+	for outcome, count := range h.Outcomes {
+		for range count {
+			s.health.observe(now, jybelief.Outcome(outcome))
+		}
 	}
-	for range h.Failed {
-		s.health.observe(now, true)
+}
+
+// hearView takes what the instances in the server's own data centre believe of it, unless more is known here.
+func (s *Server) hearView(now time.Time, load int, gray float64) {
+	s.hearsay.mu.Lock()
+	s.hearsay.total, s.hearsay.viewed = load, now
+	s.hearsay.mu.Unlock()
+	s.health.mu.Lock()
+	defer s.health.mu.Unlock()
+	if s.health.belief.IsNew() || s.health.belief.Age(now) > freshOutcome {
+		s.health.belief = jybelief.At(now, gray)
 	}
 }
 
+// freshOutcome is how old an outcome that was observed here may be to go before the view of another data centre.
+const freshOutcome = 250 * time.Millisecond
+
+// View returns the load and the chance of being gray, for instances in other data centres.
+func (s *Server) View(now time.Time) (load int, gray float64) {
+	s.health.mu.Lock()
+	gray = grayModel.GrayChance(s.health.belief, now)
+	s.health.mu.Unlock()
+	return s.load(now), gray
+}
+
+// WasTried reports whether anything was ever observed or heard of the server.
+func (s *Server) WasTried() bool {
+	s.health.mu.Lock()
+	defer s.health.mu.Unlock()
+	return !s.health.belief.IsNew()
+}
+
 // set keeps the newest report of each instance; datagrams may overtake each other.
 func (h *hearsay) set(now time.Time, from Reporter, inFlight int) {
 	h.mu.Lock()
@@ -73,3 +112,16 @@
 	}
 	return sum
 }
+
+// viewedLoad returns the load as another data centre saw it lately, or 0.
+func (h *hearsay) viewedLoad(now time.Time) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if now.Sub(h.viewed) > viewMemory {
+		return 0
+	}
+	return h.total
+}
+
+// viewMemory is how long the load in a view counts.
+const viewMemory = 2 * time.Second
--- a/internal/jybackend/latency.go
+++ b/internal/jybackend/latency.go
@@ -20,14 +20,15 @@
 // latency tracks how long a service's answers take, whichever backend server gives them.
 type latency struct {
 	mu    sync.Mutex
-	work  time.Duration // mean time of the answers that did not wait for a slot
-	works int           // answers that it is the mean of, up to workMemory
+	work  time.Duration         // mean time of the answers that did not wait for a slot
+	works int                   // answers that it is the mean of, up to workMemory
+	top   *jyquantile.Estimator // high quantile of the same
 	high  *jyquantile.Estimator
 	tail  *jyquantile.Estimator
 }
 
 func newLatency() *latency {
-	return &latency{high: jyquantile.New(0.8, firstEstimate), tail: jyquantile.New(0.99, firstEstimate)}
+	return &latency{top: jyquantile.New(0.98, firstEstimate), high: jyquantile.New(0.8, firstEstimate), tail: jyquantile.New(0.99, firstEstimate)}
 }
 
 // add takes an answer's latency and reports whether it was slow for the service.
@@ -46,6 +47,7 @@
 	defer l.mu.Unlock()
 	l.works = min(workMemory, l.works+1)
 	l.work += (d - l.work) / time.Duration(l.works)
+	l.top.Add(d)
 }
 
 // workValue returns how long the service works on a request, or otherwise where nothing is known.
@@ -58,6 +60,16 @@
 	return l.work
 }
 
+// usual returns the time within which nearly all answers come that did not wait for a slot, or 0 if too few have come.
+func (l *latency) usual() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.works < workMemory {
+		return 0
+	}
+	return l.top.Value()
+}
+
 // tailValue returns the 99th percentile.
 func (l *latency) tailValue() time.Duration {
 	l.mu.Lock()
--- a/internal/jybackend/loss.go
+++ b/internal/jybackend/loss.go
@@ -11,7 +11,12 @@
 )
 
 // grayModel is how backend servers turn gray: for seconds at a time.
-var grayModel = jybelief.Config{Onset: 0.05, Recovery: 0.12, FailWell: 0.012, FailGray: 0.9}
+var grayModel = jybelief.Config{
+	Onset:    0.05,
+	Recovery: 0.12,
+	Well:     jybelief.Likelihood{jybelief.Answered: 0.976, jybelief.FailedEarly: 0.002, jybelief.FailedLate: 0.012, jybelief.Silent: 0.01},
+	Gray:     jybelief.Likelihood{jybelief.Answered: 0.15, jybelief.FailedEarly: 0.55, jybelief.FailedLate: 0.2, jybelief.Silent: 0.1},
+}
 
 const (
 	// remoteDistance is what a request to another data centre costs, as a share of its worth.
@@ -31,10 +36,10 @@
 	coldUntil time.Time
 }
 
-func (h *health) observe(now time.Time, failed bool) {
+func (h *health) observe(now time.Time, o jybelief.Outcome) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.belief = grayModel.Observe(h.belief, now, failed)
+	h.belief = grayModel.Observe(h.belief, now, o)
 }
 
 // outlook returns the chance that a request fails now, and how much longer than usual it takes.
@@ -48,6 +53,48 @@
 	return grayModel.FailChance(h.belief, now), slowdown, h.belief.IsNew()
 }
 
+const (
+	// earlyShare is the part of the usual time of work before which a failure is early.
+	earlyShare = 0.3
+)
+
+// outcomeOf returns what the result of an attempt tells of the server, if anything.
+func (v *Service) outcomeOf(r Result, latency time.Duration) (jybelief.Outcome, bool) {
+	work := v.latency.workValue(0)
+	switch r {
+	case Answered:
+		return jybelief.Answered, true
+	case Failed:
+		if float64(latency) < earlyShare*float64(work) {
+			return jybelief.FailedEarly, true
+		}
+		return jybelief.FailedLate, true
+	}
+	return jybelief.Answered, false
+}
+
+// Work returns how long the service usually works on a request, or 0 where that is not known yet.
+func (v *Service) Work() time.Duration { return v.latency.workValue(0) }
+
+// PatienceFor returns how long an answer may take before its absence tells something, or 0 where that is not known yet:
+// nearly all answers of a well server come sooner.
+func (v *Service) PatienceFor(p Placement) time.Duration {
+	usual := v.latency.usual()
+	if usual == 0 {
+		return 0
+	}
+	ahead := max(0, p.Load+1-p.Server.Info.Slots)
+	return 2*usual + 2*v.latency.workValue(0)*time.Duration(ahead)/time.Duration(p.Server.Info.Slots)
+}
+
+// NoteSilence records that an answer is overdue.
+func (v *Service) NoteSilence(s *Server) {
+	s.health.observe(time.Now(), jybelief.Silent)
+	if v.observer != nil {
+		v.observer.Ended(s, jybelief.Silent, true)
+	}
+}
+
 // SetColdUntil records until when the server is slow after its start.
 func (s *Server) SetColdUntil(t time.Time) {
 	s.health.mu.Lock()
@@ -58,17 +105,23 @@
 // chooseByLoss picks the server at which the request is expected to lose least, and counts the request there.
 func (v *Service) chooseByLoss(now time.Time, n Need) (Placement, error) {
 	request := jyplace.Request{Work: v.latency.workValue(n.Objective / unknownWork), Objective: n.Objective, IsRepeatable: n.IsRepeatable}
-	i := jyplace.Choose(len(v.Servers), func(i int) jyplace.Candidate { return v.candidate(now, v.Servers[i], n) }, request, rand.Float64)
+	cover, lacking := v.cover(now)
+	i := jyplace.Choose(len(v.Servers), func(i int) jyplace.Candidate {
+		c := v.candidate(now, v.Servers[i], n)
+		c.IsDue = lacking && v.isNearby(v.Servers[i]) && c.FailChance <= cover.MaxFailChance && cover.IsDue(now, v.Servers[i].lastUsed())
+		return c
+	}, request, rand.Float64)
 	if i == jyplace.None {
 		return Placement{}, jyfault.New("choose backend server", NoServer, "service %s", v.Info.Name)
 	}
 	s := v.Servers[i]
-	free := s.load(now) < s.Info.Slots
+	load := s.load(now)
 	s.inFlight.Add(1)
+	s.markUsed(now)
 	if v.observer != nil {
 		v.observer.Started(s)
 	}
-	return Placement{Server: s, HasSlot: free}, nil
+	return Placement{Server: s, Load: load}, nil
 }
 
 func (v *Service) candidate(now time.Time, s *Server, n Need) jyplace.Candidate {
@@ -81,7 +134,7 @@
 	if s.isPassedOver(now) {
 		c.FailChance = 1
 	}
-	if string(s.Info.DataCentre) != v.dataCentre {
+	if !v.isNearby(s) {
 		c.Distance = remoteDistance
 		c.IsNew = false
 	}
@@ -89,7 +142,9 @@
 }
 
 // load returns the requests that all instances have at the server, as far as known here.
-func (s *Server) load(now time.Time) int { return s.InFlight() + s.hearsay.others(now) }
+func (s *Server) load(now time.Time) int {
+	return max(s.InFlight()+s.hearsay.others(now), s.hearsay.viewedLoad(now))
+}
 
 func (n Need) excludes(s *Server) bool {
 	for _, x := range n.Exclude {
--- a/internal/jybackend/server.go
+++ b/internal/jybackend/server.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/jackdawyard/jackdawyard/pkg/jybelief"
 	"github.com/jackdawyard/jackdawyard/pkg/jydetector"
 	"github.com/jackdawyard/jackdawyard/pkg/jynote"
 	"github.com/jackdawyard/jackdawyard/pkg/jyretry"
@@ -23,6 +24,7 @@
 	lost     atomic.Int32 // connections lost in a row
 	passOver atomic.Int64 // until when others are preferred, in nanoseconds since the epoch
 	health   health
+	used     atomic.Int64 // when a request was last sent to it, in nanoseconds since the epoch
 	hearsay  hearsay
 }
 
@@ -63,6 +65,8 @@
 const (
 	Answered Result = "Answered"
 	Failed   Result = "Failed"
+	// TimedOut is no answer within the deadline, which may have been short.
+	TimedOut Result = "TimedOut"
 	// Neutral results say nothing: the caller cancelled, or the server shed load by its own word.
 	Neutral Result = "Neutral"
 )
@@ -70,31 +74,42 @@
 // Observer is told of each request at a server.
 type Observer interface {
 	Started(s *Server)
-	Ended(s *Server, r Result)
+	// Ended tells what the request's end says of the server; tells is false where it says nothing.
+	Ended(s *Server, o jybelief.Outcome, tells bool)
+	// Unserved tells that a request ended without being served, last at this server.
+	Unserved(s *Server)
 }
 
 // Hash identifies the server in signals between instances.
 func (s *Server) Hash() uint64 { return xxhash.Sum64String(string(s.Info.Name)) }
 
-// Record counts a finished attempt and reports whether it was a failure.
-func (v *Service) Record(p Placement, r Result, latency time.Duration) bool {
+// Record counts a finished attempt, whose answer was overdue if wasSilent, and reports whether it was a failure.
+func (v *Service) Record(p Placement, r Result, latency time.Duration, wasSilent bool) bool {
 	s := p.Server
+	outcome, tells := v.outcomeOf(r, latency)
+	// An answer that was overdue was counted when it was.
+	tells = tells && !(wasSilent && r == Answered)
+	if tells {
+		now := time.Now()
+		s.health.observe(now, outcome)
+		if outcome == jybelief.Answered {
+			v.coverage.observe(now, Finished{Served: 1})
+		}
+	}
 	if v.observer != nil {
-		defer v.observer.Ended(s, r)
+		v.observer.Ended(s, outcome, tells)
 	}
 	switch r {
 	case Neutral:
 		return false
-	case Failed:
+	case Failed, TimedOut:
 		s.attempts.Add(1)
 		s.failures.Add(1)
-		s.health.observe(time.Now(), true)
 		return true
 	case Answered:
 		s.lost.Store(0)
 		s.attempts.Add(1)
-		s.health.observe(time.Now(), false)
-		if p.HasSlot {
+		if p.hasSlot() {
 			v.latency.addWork(latency)
 		}
 		if v.latency.add(latency) {
--- a/internal/jybackend/service.go
+++ b/internal/jybackend/service.go
@@ -30,6 +30,7 @@
 	byLoss     bool
 	dataCentre string
 	observer   Observer
+	coverage   *coverage
 	// view holds the seats that this instance uses, and all those of the whole service.
 	view   atomic.Pointer[[]seat]
 	all    atomic.Pointer[[]seat]
@@ -66,10 +67,23 @@
 func (v *Service) TakeRetry() bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	v.shareSlack()
+	return v.budget.Take(time.Now())
+}
+
+// HasAmpleRetries reports whether the budget allows to take the risk of a retry.
+func (v *Service) HasAmpleRetries() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.shareSlack()
+	return v.budget.IsAmple(time.Now())
+}
+
+// shareSlack adapts the budget to the number of instances; the caller holds mu.
+func (v *Service) shareSlack() {
 	if slack := v.slack(); slack > 0 {
 		v.budget.SetSlack(slack)
 	}
-	return v.budget.Take(time.Now())
 }
 
 // Need says what a request asks of a backend server.
@@ -85,10 +99,13 @@
 // Placement is the backend server that was chosen for an attempt.
 type Placement struct {
 	Server *Server
-	// HasSlot says that a slot seemed free, so that the request is worked on at once.
-	HasSlot bool
+	// Load is the number of requests that the server held before, as far as known here.
+	Load int
 }
 
+// hasSlot reports whether a slot seemed free, so that the request was worked on at once.
+func (p Placement) hasSlot() bool { return p.Load < p.Server.Info.Slots }
+
 // Choose picks a backend server and counts the request in flight there until Release; its error is of kind NoServer.
 func (v *Service) Choose(now time.Time, n Need) (Placement, error) {
 	if v.byLoss {
@@ -104,7 +121,7 @@
 		}
 		s := seats[i].server
 		if int(s.inFlight.Add(1)) <= v.limit(s) {
-			return Placement{Server: s, HasSlot: true}, nil
+			return Placement{Server: s}, nil
 		}
 		s.inFlight.Add(-1)
 	}
--- a/internal/jydiscovery/discovery.go
+++ b/internal/jydiscovery/discovery.go
@@ -28,11 +28,13 @@
 	// readTime is how long the store may take for all that it holds.
 	readTime = 2 * time.Second
 	// watchInterval is the least time between the starts of two watches, so that changes in quick succession share one.
-	watchInterval = 400 * time.Millisecond
+	watchInterval = 600 * time.Millisecond
 	// retryInterval is how long the store is left alone after a failure, on average.
 	retryInterval = 300 * time.Millisecond
 	// returnTime is how long a server that lapsed while the store was away may take to register again.
-	returnTime = 1800 * time.Millisecond
+	returnTime = 1600 * time.Millisecond
+	// minWait is the shortest wait of a watch.
+	minWait = 50 * time.Millisecond
 )
 
 // Discovery follows a store.
@@ -121,8 +123,15 @@
 	return nil
 }
 
-// wait is short while servers that lapsed may come back, so that those that do not are dropped in time.
-func (d *Discovery) wait() time.Duration { return d.config.WatchWait }
+// wait is shorter while servers that lapsed may come back, so that those that do not are dropped in time.
+func (d *Discovery) wait() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if left, lapsed := d.registry.UntilExpiry(time.Now()); lapsed {
+		return max(minWait, min(d.config.WatchWait, left))
+	}
+	return d.config.WatchWait
+}
 
 func (d *Discovery) read(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readTime)
--- /dev/null
+++ b/internal/jydiscovery/discovery_test.go
@@ -0,0 +1,170 @@
+package jydiscovery_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/jackdawyard/jackdawyard/internal/jydiscovery"
+	"github.com/jackdawyard/jackdawyard/pkg/jyfault"
+	"github.com/jackdawyard/jackdawyard/pkg/jynote"
+	"github.com/jackdawyard/jackdawyard/pkg/jyregistry"
+)
+
+// fakeStore answers from memory.
+type fakeStore struct {
+	mu        sync.Mutex
+	snapshot  jydiscovery.Snapshot
+	changes   []jydiscovery.Changes
+	compacted bool // the next watch finds no history
+	away      bool
+	reads     int
+	watches   int
+}
+
+func (f *fakeStore) Read(context.Context) (jydiscovery.Snapshot, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.reads++
+	if f.away {
+		return jydiscovery.Snapshot{}, jyfault.New("read", jydiscovery.Unreachable, "away")
+	}
+	return f.snapshot, nil
+}
+
+func (f *fakeStore) Watch(ctx context.Context, after jydiscovery.Revision, wait time.Duration) (jydiscovery.Changes, error) {
+	f.mu.Lock()
+	f.watches++
+	switch {
+	case f.away:
+		f.mu.Unlock()
+		return jydiscovery.Changes{}, jyfault.New("watch", jydiscovery.Unreachable, "away")
+	case f.compacted:
+		f.compacted = false
+		f.mu.Unlock()
+		return jydiscovery.Changes{}, jyfault.New("watch", jydiscovery.Compacted, "history is gone")
+	case len(f.changes) > 0:
+		c := f.changes[0]
+		f.changes = f.changes[1:]
+		f.mu.Unlock()
+		return c, nil
+	}
+	f.mu.Unlock()
+	select {
+	case <-ctx.Done():
+		return jydiscovery.Changes{}, jyfault.New("watch", jydiscovery.Unreachable, "%w", ctx.Err())
+	case <-time.After(wait):
+		return jydiscovery.Changes{Revision: after}, nil
+	}
+}
+
+func (f *fakeStore) set(change func(*fakeStore)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change(f)
+}
+
+func version(n jynote.Number) *jydiscovery.Configuration {
+	return &jydiscovery.Configuration{Version: n, Services: []jynote.Service{{Name: "s"}}}
+}
+
+func server(id string) jyregistry.Registration {
+	return jyregistry.Registration{ID: jyregistry.ID(id), Incarnation: 1, Service: "s", Slots: 4, State: jyregistry.Ready}
+}
+
+// follow runs a discovery in virtual time and returns the states that came into force after each step.
+func follow(t *testing.T, store *fakeStore, steps ...func()) []jynote.State {
+	var out []jynote.State
+	synctest.Test(t, func(t *testing.T) {
+		var mu sync.Mutex
+		var last jynote.State
+		d := jydiscovery.New(jydiscovery.Config{Store: store, WatchWait: time.Second, OnState: func(s jynote.State, _ []jyregistry.Server) {
+			mu.Lock()
+			defer mu.Unlock()
+			last = s
+		}})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			_ = d.Run(ctx)
+		}()
+		for _, step := range steps {
+			step()
+			time.Sleep(4 * time.Second)
+			mu.Lock()
+			out = append(out, last)
+			mu.Unlock()
+		}
+		cancel()
+		<-done
+	})
+	return out
+}
+
+func names(s jynote.State) []string {
+	out := []string{}
+	for _, b := range s.BackendServers {
+		out = append(out, b.Identity)
+	}
+	return out
+}
+
+func TestConfigurationsNeverGoBack(t *testing.T) {
+	store := &fakeStore{snapshot: jydiscovery.Snapshot{Revision: 1, Configuration: version(7)}}
+	states := follow(t, store,
+		func() {},
+		func() {
+			store.set(func(f *fakeStore) { f.changes = []jydiscovery.Changes{{Revision: 2, Configuration: version(3)}} })
+		},
+		func() {
+			store.set(func(f *fakeStore) { f.changes = []jydiscovery.Changes{{Revision: 3, Configuration: version(12)}} })
+		})
+	assert.Equal(t, jynote.Number(7), states[0].Number)
+	assert.Equal(t, jynote.Number(7), states[1].Number)
+	assert.Equal(t, jynote.Number(12), states[2].Number)
+}
+
+func TestALostHistoryIsMadeUpForByReadingAll(t *testing.T) {
+	store := &fakeStore{snapshot: jydiscovery.Snapshot{
+		Revision: 1, Configuration: version(1), Registrations: []jyregistry.Registration{server("a"), server("b")},
+	}}
+	states := follow(t, store, func() {}, func() {
+		store.set(func(f *fakeStore) {
+			f.compacted = true
+			f.snapshot = jydiscovery.Snapshot{Revision: 9, Configuration: version(2), Registrations: []jyregistry.Registration{server("b")}}
+		})
+	})
+	assert.Equal(t, []string{"a", "b"}, names(states[0]))
+	assert.Equal(t, jynote.Number(2), states[1].Number)
+	assert.Equal(t, []string{"b"}, names(states[1]))
+}
+
+func TestServersStayInUseWhileTheStoreIsAway(t *testing.T) {
+	store := &fakeStore{snapshot: jydiscovery.Snapshot{
+		Revision: 1, Configuration: version(1), Registrations: []jyregistry.Registration{server("a"), server("b")},
+	}}
+	states := follow(t, store,
+		func() {},
+		func() { store.set(func(f *fakeStore) { f.away = true }) },
+		func() {
+			store.set(func(f *fakeStore) {
+				f.away = false
+				f.changes = []jydiscovery.Changes{{Revision: 5, Removed: []jyregistry.ID{"a", "b"}}, {Revision: 6, Registered: []jyregistry.Registration{server("b")}}}
+			})
+		})
+	assert.Equal(t, []string{"a", "b"}, names(states[0]))
+	assert.Equal(t, []string{"a", "b"}, names(states[1]))
+	assert.Equal(t, []string{"b"}, names(states[2]), "the one that did not come back is gone")
+}
+
+func TestAQuietStoreIsCalledAboutOnceAWait(t *testing.T) {
+	store := &fakeStore{snapshot: jydiscovery.Snapshot{Revision: 1, Configuration: version(1)}}
+	follow(t, store, func() {})
+	assert.Equal(t, 1, store.reads)
+	assert.LessOrEqual(t, store.watches, 5)
+}
--- a/internal/jyproxy/attempt.go
+++ b/internal/jyproxy/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/jackdawyard/jackdawyard/internal/jybackend"
@@ -22,6 +23,8 @@
 	started   time.Time
 	cancel    context.CancelFunc // of the copy that is answered
 	wasSent   bool
+	overdue   *time.Timer // ends what the server's silence tells; nil where nothing is usual yet
+	wasSilent atomic.Bool
 }
 
 // run sends the request and returns the answer, or what became of it; it ends the attempt unless the answer still streams.
@@ -34,6 +37,7 @@
 		return nil, a.notConnected(ctx, err)
 	}
 	a.wasSent = true
+	a.watchSilence()
 	x, err := a.exchange(ctx, first, conn)
 	if err != nil {
 		return nil, a.lost(ctx, conn, err)
@@ -90,13 +94,26 @@
 	}
 	f.Reason = reasonOf(ctx)
 	if f.Reason == jyoutcome.DeadlinePassed {
-		a.end(jybackend.Failed)
+		a.end(jybackend.TimedOut)
 	} else {
 		a.end(jybackend.Neutral)
 	}
 	return f
 }
 
+// watchSilence notes at once, not only at the deadline, that the answer takes longer than nearly all do.
+func (a *attempt) watchSilence() {
+	service := a.request.service
+	patience := service.PatienceFor(a.placement)
+	if patience == 0 {
+		return
+	}
+	a.overdue = time.AfterFunc(patience, func() {
+		a.wasSilent.Store(true)
+		service.NoteSilence(a.server)
+	})
+}
+
 // blame spares the server where a connection that was kept open has ended: a server in fault shows on new ones too.
 func blame(conn *jybackend.Connection, ended bool) jybackend.Result {
 	if conn.Reused && ended {
@@ -148,6 +165,9 @@
 	if s.ShedMark.Matches(resp.StatusCode, resp.Header.Get) {
 		return jybackend.Neutral
 	}
+	if resp.StatusCode == http.StatusGatewayTimeout {
+		return jybackend.TimedOut
+	}
 	if resp.StatusCode >= http.StatusInternalServerError {
 		return jybackend.Failed
 	}
@@ -172,8 +192,11 @@
 // end counts the attempt and frees its place at the backend server.
 func (a *attempt) end(r jybackend.Result) {
 	a.cancel()
+	if a.overdue != nil {
+		a.overdue.Stop()
+	}
 	a.server.Release()
-	if a.request.service.Record(a.placement, r, time.Since(a.started)) {
+	if a.request.service.Record(a.placement, r, time.Since(a.started), a.wasSilent.Load()) {
 		a.forwarder.config.OnEvidence(a.request.match.Service.Name)
 	}
 }
--- a/internal/jyproxy/forwarder.go
+++ b/internal/jyproxy/forwarder.go
@@ -42,6 +42,29 @@
 
 // forward returns the answer to the request, or the refusal that the caller gets.
 func (f *Forwarder) forward(ctx context.Context, r *request) (*answer, *jyoutcome.Refusal) {
+	out, refusal := f.try(ctx, r)
+	if f.isUnserved(r, out, refusal) {
+		r.service.NoteUnserved(r.lastServer())
+	}
+	return out, refusal
+}
+
+// isUnserved reports whether the service failed the caller; one that left, or allowed too little time, was not failed.
+func (f *Forwarder) isUnserved(r *request, out *answer, refusal *jyoutcome.Refusal) bool {
+	if refusal != nil && refusal.Reason == jyoutcome.CancelledByCaller {
+		return false
+	}
+	if refusal == nil && out.status < http.StatusInternalServerError {
+		return false
+	}
+	return r.deadline.Sub(r.arrived) > leastTime*r.service.Work()
+}
+
+// leastTime is how many times longer than the usual work a request must be allowed to take to be served as a rule.
+const leastTime = 2
+
+// try makes attempts until one is answered, or no other may follow.
+func (f *Forwarder) try(ctx context.Context, r *request) (*answer, *jyoutcome.Refusal) {
 	for {
 		now := time.Now()
 		if !now.Before(r.deadline) {
@@ -94,6 +117,10 @@
 		r.service.CreditSuccess()
 		return false
 	}
+	if time.Until(r.deadline) < r.service.Work()/2 {
+		// Another server could not do the work either in what is left.
+		return false
+	}
 	if !r.match.Idempotent || !r.replayable() || r.attempts >= r.maxAttempts() || r.attempts >= len(r.service.Servers) {
 		return false
 	}
--- a/internal/jyproxy/request.go
+++ b/internal/jyproxy/request.go
@@ -53,7 +53,15 @@
 
 // isRepeatable reports whether the request may be sent once more if the next attempt fails.
 func (r *request) isRepeatable() bool {
-	return r.match.Idempotent && r.replayable() && r.attempts+1 < r.maxAttempts()
+	return r.match.Idempotent && r.replayable() && r.attempts+1 < r.maxAttempts() && r.service.HasAmpleRetries()
+}
+
+// lastServer returns the backend server that was tried last, or nil.
+func (r *request) lastServer() *jybackend.Server {
+	if len(r.tried) == 0 {
+		return nil
+	}
+	return r.tried[len(r.tried)-1]
 }
 
 // objective returns the latency that the caller is promised.
--- a/internal/jysignal/pending.go
+++ b/internal/jysignal/pending.go
@@ -4,15 +4,16 @@
 	"sync"
 
 	"github.com/jackdawyard/jackdawyard/internal/jybackend"
+	"github.com/jackdawyard/jackdawyard/pkg/jybelief"
 )
 
-// news is what has become of one server since it was last told.
+// news is how requests ended at a server since peers were told of it.
 type news struct {
-	answered uint32
-	failed   uint32
+	outcomes jybelief.Counts
+	unserved uint32
 }
 
-// pending holds the servers of which there is news; one entry a server bounds it.
+// pending holds how requests ended at the servers of which peers were not told yet; one entry a server bounds it.
 type pending struct {
 	mu    sync.Mutex
 	news  map[*jybackend.Server]news
@@ -25,17 +26,28 @@
 	return &pending{news: map[*jybackend.Server]news{}, ready: make(chan struct{}, 1), urgent: make(chan struct{}, 1)}
 }
 
-func (p *pending) add(s *jybackend.Server, n news) {
+func (p *pending) add(s *jybackend.Server, c jybelief.Counts) {
 	p.mu.Lock()
-	old := p.news[s]
-	p.news[s] = news{answered: old.answered + n.answered, failed: old.failed + n.failed}
+	n := p.news[s]
+	n.outcomes = n.outcomes.Add(c)
+	p.news[s] = n
 	p.mu.Unlock()
 	signal(p.ready)
-	if n.failed > 0 {
+	if c.Failures() > 0 {
 		signal(p.urgent)
 	}
 }
 
+// addUnserved counts a request that ended unserved.
+func (p *pending) addUnserved(s *jybackend.Server) {
+	p.mu.Lock()
+	n := p.news[s]
+	n.unserved++
+	p.news[s] = n
+	p.mu.Unlock()
+	signal(p.ready)
+}
+
 func signal(c chan struct{}) {
 	select {
 	case c <- struct{}{}:
--- a/internal/jysignal/signals.go
+++ b/internal/jysignal/signals.go
@@ -12,6 +12,7 @@
 	"github.com/jackdawyard/jackdawyard/internal/jykernel"
 	"github.com/jackdawyard/jackdawyard/internal/jylog"
 	"github.com/jackdawyard/jackdawyard/internal/jywire"
+	"github.com/jackdawyard/jackdawyard/pkg/jybelief"
 	"github.com/jackdawyard/jackdawyard/pkg/jyfault"
 	"github.com/jackdawyard/jackdawyard/pkg/jymember"
 )
@@ -33,8 +34,6 @@
 const (
 	// batchTime is how long news without failures waits for more.
 	batchTime = 10 * time.Millisecond
-	// peerInterval is how often the list of peers is read.
-	peerInterval = 500 * time.Millisecond
 	// maxServers bounds the servers in one datagram, so that it is not fragmented.
 	maxServers = 50
 	maxBytes   = 1400
@@ -42,20 +41,16 @@
 
 // Signals sends and receives signals.
 type Signals struct {
-	config   Config
-	conn     *net.UDPConn
-	port     uint16
-	pending  *pending
+	config  Config
+	self    jymember.Member
+	conn    *net.UDPConn
+	port    uint16
+	pending *pending
+	peers   *peers
+	seen    map[string]*window // by sender; used by the receiving goroutine alone
+	// sequence and told are used by the sending goroutine alone.
 	sequence uint64
-	near     []netip.AddrPort
-	far      []peer
-	read     time.Time
-}
-
-// peer is an instance in another data centre.
-type peer struct {
-	address    netip.AddrPort
-	dataCentre string
+	told     map[uint64]view
 }
 
 // New opens the socket; its errors are of kind NoAddress.
@@ -69,24 +64,27 @@
 	if err != nil {
 		return nil, jyfault.New(op, NoAddress, "%w", err)
 	}
-	return &Signals{config: c, conn: conn, port: address.Port(), pending: newPending()}, nil
+	return &Signals{
+		config: c, self: c.Fleet.Self(), conn: conn, port: address.Port(), pending: newPending(),
+		peers: &peers{fleet: c.Fleet, port: address.Port()}, seen: map[string]*window{}, told: map[uint64]view{},
+	}, nil
 }
 
 // Started records that a request was sent to the server.
-func (s *Signals) Started(server *jybackend.Server) { s.pending.add(server, news{}) }
-
-// Ended records the result of a request.
-func (s *Signals) Ended(server *jybackend.Server, r jybackend.Result) {
-	switch r {
-	case jybackend.Failed:
-		s.pending.add(server, news{failed: 1})
-	case jybackend.Answered:
-		s.pending.add(server, news{answered: 1})
-	default:
-		s.pending.add(server, news{})
+func (s *Signals) Started(server *jybackend.Server) { s.pending.add(server, jybelief.Counts{}) }
+
+// Ended records how a request ended.
+func (s *Signals) Ended(server *jybackend.Server, o jybelief.Outcome, tells bool) {
+	var c jybelief.Counts
+	if tells {
+		c[o] = 1
 	}
+	s.pending.add(server, c)
 }
 
+// Unserved records that a request ended without being served.
+func (s *Signals) Unserved(server *jybackend.Server) { s.pending.addUnserved(server) }
+
 // Run sends and receives until ctx ends.
 func (s *Signals) Run(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { _ = s.conn.Close() })
@@ -103,100 +101,77 @@
 			jykernel.Wait(ctx, batchTime)
 			continue
 		}
-		s.take(buffer[:n])
+		s.receive(buffer[:n])
 	}
 }
 
-func (s *Signals) take(raw []byte) {
+func (s *Signals) receive(raw []byte) {
 	var m jywire.Signal
 	if err := proto.Unmarshal(raw, &m); err != nil {
 		jylog.SignalUnreadable.Log(err)
 		return
 	}
-	now := time.Now()
-	from := jybackend.Reporter{Name: m.GetSender(), Boot: m.GetBoot(), Sequence: m.GetSequence()}
-	snapshot := s.config.Directory.Snapshot()
-	for _, v := range m.GetServers() {
-		if server := snapshot.ByHash(v.GetServer()); server != nil {
-			server.Hear(now, from, jybackend.Heard{InFlight: int(v.GetInFlight()), Answered: int(v.GetAnswered()), Failed: int(v.GetFailed())})
-		}
+	if m.GetSender() == string(s.self.Name) || !s.isNew(&m) {
+		return
 	}
+	if m.GetForward() {
+		m.Forward = false
+		s.post(&m, s.peers.nearby(time.Now()))
+	}
+	s.take(&m)
 }
 
-func (s *Signals) send(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-s.pending.ready:
-		}
-		select {
-		case <-s.pending.urgent:
-		case <-time.After(batchTime):
-		}
-		s.tell(time.Now(), s.pending.take())
+// isNew reports whether the signal came for the first time; two relays may pass it on.
+func (s *Signals) isNew(m *jywire.Signal) bool {
+	w := s.seen[m.GetSender()]
+	if w == nil {
+		w = &window{}
+		s.seen[m.GetSender()] = w
 	}
+	return w.add(m.GetBoot(), m.GetSequence())
 }
 
-// tell sends all news to the instances nearby; others hear of failures, and of load at servers in their data centre.
-func (s *Signals) tell(now time.Time, all map[*jybackend.Server]news) {
-	s.readPeers(now)
-	var list []*jywire.ServerSignal
-	var failed []*jywire.ServerSignal
-	away := map[string][]*jywire.ServerSignal{}
-	for server, n := range all {
-		v := &jywire.ServerSignal{Server: server.Hash(), InFlight: uint32(max(0, server.InFlight())), Answered: n.answered, Failed: n.failed}
-		list = append(list, v)
-		centre := string(server.Info.DataCentre)
-		switch {
-		case n.failed > 0:
-			failed = append(failed, v)
-		case centre != s.config.Fleet.Self().DataCentre:
-			away[centre] = append(away[centre], v)
-		}
+func (s *Signals) take(m *jywire.Signal) {
+	now := time.Now()
+	from := jybackend.Reporter{Name: m.GetSender(), Boot: m.GetBoot(), Sequence: m.GetSequence()}
+	isNear := m.GetDataCentre() == s.self.DataCentre
+	snapshot := s.config.Directory.Snapshot()
+	for _, v := range m.GetServers() {
+		snapshot.Hear(now, v.GetServer(), from, jybackend.Heard{
+			InFlight: int(v.GetInFlight()), Outcomes: outcomesOf(v), Unserved: v.GetUnserved(), IsNear: isNear,
+		})
 	}
-	for _, to := range s.near {
-		s.post(to, list)
+	for _, v := range m.GetServices() {
+		if !isNear {
+			snapshot.HearFinished(now, v.GetService(), jybackend.Finished{Served: v.GetServed(), Unserved: v.GetUnserved()})
+		}
 	}
-	for _, p := range s.far {
-		s.post(p.address, append(away[p.dataCentre], failed...))
+	for _, v := range m.GetViews() {
+		snapshot.HearView(now, v.GetServer(), int(v.GetLoad()), float64(v.GetGrayPerMille())/perMille)
 	}
 }
 
-// post sends a signal in as many datagrams as it needs; one that is lost is made up for by the next about the same server.
-func (s *Signals) post(to netip.AddrPort, list []*jywire.ServerSignal) {
-	self := s.config.Fleet.Self()
-	for len(list) > 0 {
-		part := list[:min(len(list), maxServers)]
-		list = list[len(part):]
-		s.sequence++
-		raw, err := proto.Marshal(&jywire.Signal{Sender: string(self.Name), Boot: uint64(self.Boot), Sequence: s.sequence, Servers: part})
-		if err != nil {
-			jylog.SignalUnreadable.Log(err)
-			return
-		}
-		// A full socket or a peer that is gone loses the datagram, as the network may.
-		_, _ = s.conn.WriteToUDPAddrPort(raw, to)
+const perMille = 1000
+
+func outcomesOf(v *jywire.ServerSignal) jybelief.Counts {
+	return jybelief.Counts{
+		jybelief.Answered: v.GetAnswered(), jybelief.FailedEarly: v.GetFailedEarly(),
+		jybelief.FailedLate: v.GetFailedLate(), jybelief.Silent: v.GetSilent(),
 	}
 }
 
-func (s *Signals) readPeers(now time.Time) {
-	if now.Sub(s.read) < peerInterval {
+// post sends a signal as one datagram to each address.
+func (s *Signals) post(m *jywire.Signal, to []netip.AddrPort) {
+	if len(to) == 0 {
 		return
 	}
-	s.read = now
-	s.near, s.far = s.near[:0], s.far[:0]
-	self := s.config.Fleet.Self()
-	for _, m := range s.config.Fleet.Working() {
-		address, err := netip.ParseAddrPort(m.Address)
-		if m.Name == self.Name || err != nil {
-			continue
-		}
-		to := netip.AddrPortFrom(address.Addr(), s.port)
-		if m.DataCentre == self.DataCentre {
-			s.near = append(s.near, to)
-			continue
-		}
-		s.far = append(s.far, peer{address: to, dataCentre: m.DataCentre})
+	raw, err := proto.Marshal(m)
+	if err != nil {
+		jylog.SignalUnreadable.Log(err)
+		return
+	}
+	for _, address := range to {
+		// A full socket or a peer that is gone loses the datagram, as the network may; the next one makes up for it.
+		_, _ = s.conn.WriteToUDPAddrPort(raw, address)
 	}
 }
--- a/pkg/jybelief/belief.go
+++ b/pkg/jybelief/belief.go
@@ -14,9 +14,9 @@
 	Onset Rate
 	// Recovery is the rate at which a gray server recovers.
 	Recovery Rate
-	// FailWell and FailGray are the chances that a request fails in each state.
-	FailWell float64
-	FailGray float64
+	// Well and Gray are the chances of the outcomes in each state.
+	Well Likelihood
+	Gray Likelihood
 }
 
 // Belief is the chance that a server is gray, as of a moment; the zero value knows nothing.
@@ -31,8 +31,14 @@
 // IsNew reports whether nothing was ever observed of the server.
 func (b Belief) IsNew() bool { return b.at.IsZero() }
 
-// Gray returns the chance that the server is gray now.
-func (c Config) Gray(b Belief, now time.Time) float64 {
+// At returns the belief that the server is gray with this chance now.
+func At(now time.Time, gray float64) Belief { return Belief{gray: gray, at: now} }
+
+// Age returns how long ago the last outcome was observed.
+func (b Belief) Age(now time.Time) time.Duration { return now.Sub(b.at) }
+
+// GrayChance returns the chance that the server is gray now.
+func (c Config) GrayChance(b Belief, now time.Time) float64 {
 	prior := c.Prior()
 	if b.at.IsZero() {
 		return prior
@@ -43,20 +49,16 @@
 
 // FailChance returns the chance that a request sent now fails.
 func (c Config) FailChance(b Belief, now time.Time) float64 {
-	gray := c.Gray(b, now)
-	return gray*c.FailGray + (1-gray)*c.FailWell
+	gray := c.GrayChance(b, now)
+	return gray*c.Gray.fail() + (1-gray)*c.Well.fail()
 }
 
 // Observe returns the belief after a request that ended now.
-func (c Config) Observe(b Belief, now time.Time, failed bool) Belief {
-	gray := c.Gray(b, now)
-	ifGray, ifWell := c.FailGray, c.FailWell
-	if !failed {
-		ifGray, ifWell = 1-ifGray, 1-ifWell
-	}
-	joint := gray * ifGray
+func (c Config) Observe(b Belief, now time.Time, o Outcome) Belief {
+	gray := c.GrayChance(b, now)
+	joint := gray * c.Gray[o]
 	if b.at.After(now) {
 		now = b.at
 	}
-	return Belief{gray: joint / (joint + (1-gray)*ifWell), at: now}
+	return Belief{gray: joint / (joint + (1-gray)*c.Well[o]), at: now}
 }
--- /dev/null
+++ b/pkg/jybelief/belief_test.go
@@ -0,0 +1,87 @@
+package jybelief_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/jackdawyard/jackdawyard/pkg/jybelief"
+)
+
+var model = jybelief.Config{
+	Onset:    0.05,
+	Recovery: 0.12,
+	Well:     jybelief.Likelihood{jybelief.Answered: 0.976, jybelief.FailedEarly: 0.002, jybelief.FailedLate: 0.012, jybelief.Silent: 0.01},
+	Gray:     jybelief.Likelihood{jybelief.Answered: 0.15, jybelief.FailedEarly: 0.55, jybelief.FailedLate: 0.2, jybelief.Silent: 0.1},
+}
+
+var start = time.Unix(1_000_000, 0)
+
+// naive follows the chance of being gray in steps of a millisecond.
+type naive struct {
+	gray float64
+	now  time.Time
+}
+
+func (n *naive) advance(to time.Time) {
+	const step = 0.001
+	for ; n.now.Before(to); n.now = n.now.Add(time.Millisecond) {
+		n.gray += step * (float64(model.Onset)*(1-n.gray) - float64(model.Recovery)*n.gray)
+	}
+}
+
+func (n *naive) observe(o jybelief.Outcome) {
+	gray, well := n.gray*model.Gray[o], (1-n.gray)*model.Well[o]
+	n.gray = gray / (gray + well)
+}
+
+func TestTheFilterAgreesWithSmallSteps(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var b jybelief.Belief
+		n := &naive{gray: model.Prior(), now: start}
+		now := start
+		for range rapid.IntRange(1, 12).Draw(t, "outcomes") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
+			n.advance(now)
+			o := jybelief.Outcome(rapid.IntRange(0, 3).Draw(t, "outcome"))
+			n.observe(o)
+			b = model.Observe(b, now, o)
+			require.InDelta(t, n.gray, model.GrayChance(b, now), 0.001)
+		}
+	})
+}
+
+func TestWhatOutcomesTell(t *testing.T) {
+	after := func(list ...jybelief.Outcome) float64 {
+		var b jybelief.Belief
+		for _, o := range list {
+			b = model.Observe(b, start, o)
+		}
+		return model.GrayChance(b, start)
+	}
+	well := []jybelief.Outcome{jybelief.Answered, jybelief.Answered}
+	assert.Less(t, after(well...), 0.03, "two answers make a server trusted")
+	assert.Greater(t, after(append(well, jybelief.FailedEarly)...), 0.5, "one early failure makes it likelier gray than well")
+	assert.Less(t, after(append(well, jybelief.FailedLate)...), 0.3, "a single late failure may be the request's own")
+	assert.Less(t, after(append(well, jybelief.Silent)...), 0.2)
+}
+
+func TestSilenceLeadsBackToWhatIsUsual(t *testing.T) {
+	b := model.Observe(jybelief.Belief{}, start, jybelief.FailedEarly)
+	last := model.GrayChance(b, start)
+	for s := 1; s <= 60; s++ {
+		gray := model.GrayChance(b, start.Add(time.Duration(s)*time.Second))
+		assert.Less(t, gray, last)
+		last = gray
+	}
+	assert.InDelta(t, model.Prior(), last, 0.001)
+}
+
+func TestALateReportDoesNotTurnTimeBack(t *testing.T) {
+	b := model.Observe(jybelief.Belief{}, start, jybelief.Answered)
+	early := model.Observe(b, start.Add(-time.Second), jybelief.FailedEarly)
+	assert.LessOrEqual(t, model.GrayChance(early, start), model.GrayChance(early, start.Add(-time.Minute)))
+}
--- /dev/null
+++ b/pkg/jyplace/coverage.go
@@ -0,0 +1,79 @@
+package jyplace
+
+import (
+	"math"
+	"time"
+)
+
+// CoverageConfig sets up a Coverage.
+type CoverageConfig struct {
+	// FailShare is the share of failed requests above which the servers of a service must be covered.
+	FailShare float64
+	// MinFailures is the number of failures below which a service is not in trouble.
+	MinFailures float64
+	// Calm and Trouble say what is to be covered below and above that share.
+	Calm    Cover
+	Trouble Cover
+	// Memory is how long an outcome counts, on average.
+	Memory time.Duration
+}
+
+// Cover is how many servers of a service must have got a request lately.
+type Cover struct {
+	Share float64
+	// Lately is how long ago a request may have been sent to a server that counts as covered.
+	Lately time.Duration
+	// MaxFailChance is the chance to fail above which a server is not tried for the sake of coverage.
+	MaxFailChance float64
+}
+
+// Coverage answers a service that fails many requests while some of its servers get none: those may be well by now. It is
+// not safe for concurrent use.
+type Coverage struct {
+	config   CoverageConfig
+	answered float64
+	failed   float64
+	at       time.Time
+}
+
+// NewCoverage returns a coverage that knows of no request.
+func NewCoverage(c CoverageConfig) *Coverage { return &Coverage{config: c} }
+
+// Observe counts requests that ended now.
+func (c *Coverage) Observe(now time.Time, answered, failed uint32) {
+	c.fade(now)
+	c.answered += float64(answered)
+	c.failed += float64(failed)
+}
+
+func (c *Coverage) fade(now time.Time) {
+	if passed := now.Sub(c.at); !c.at.IsZero() && passed > 0 {
+		keep := math.Exp(-passed.Seconds() / c.config.Memory.Seconds())
+		c.answered *= keep
+		c.failed *= keep
+	}
+	c.at = now
+}
+
+// Now returns what is to be covered now.
+func (c *Coverage) Now(now time.Time) Cover {
+	c.fade(now)
+	if c.failed >= c.config.MinFailures && c.failed > c.config.FailShare*(c.failed+c.answered) {
+		return c.config.Trouble
+	}
+	return c.config.Calm
+}
+
+// Lacks reports whether too few of the servers, given when each last got a request, are covered.
+func (c Cover) Lacks(now time.Time, last []time.Time) bool {
+	covered := 0
+	for _, t := range last {
+		if !c.IsDue(now, t) {
+			covered++
+		}
+	}
+	return float64(covered) < c.Share*float64(len(last))
+}
+
+// IsDue reports whether a server that last got a request then is not covered.
+func (c Cover) IsDue(now, last time.Time) bool { return now.Sub(last) > c.Lately }
--- a/pkg/jyplace/place.go
+++ b/pkg/jyplace/place.go
@@ -18,6 +18,8 @@
 	Distance float64
 	// IsNew marks a server nearby that nobody has tried: it is tried soon, so that what was added is used.
 	IsNew bool
+	// IsDue marks a server that must be tried before those that are not due.
+	IsDue bool
 	// IsExcluded marks a server that must not get the request.
 	IsExcluded bool
 }
@@ -39,13 +41,13 @@
 const lateWorth = 0.3
 
 // exploration is the part of a chance to fail that counts: what a server of which little is known answers is worth knowing.
-const exploration = 0.5
+const exploration = 0.4
 
 // repetition is the part of a chance to fail that counts where another server may be tried.
-const repetition = 0.3
+const repetition = 0.15
 
 // spread says how sharply answers turn late as the expected latency nears the objective.
-const spread = 5
+const spread = 3
 
 // jitter spreads choices between candidates that are as good as equal.
 const jitter = 0.01
@@ -85,15 +87,15 @@
 
 // Choose returns the index of the candidate of least loss among n, or None; draw returns random numbers in [0, 1).
 func Choose(n int, at func(int) Candidate, r Request, draw func() float64) int {
-	best, least := None, 0.0
+	best, least, due := None, 0.0, false
 	for i := range n {
 		c := at(i)
-		if c.IsExcluded {
+		if c.IsExcluded || (due && !c.IsDue) {
 			continue
 		}
 		loss := c.Loss(r) + jitter*draw()
-		if best == None || loss < least {
-			best, least = i, loss
+		if best == None || loss < least || (c.IsDue && !due) {
+			best, least, due = i, loss, c.IsDue
 		}
 	}
 	return best
--- /dev/null
+++ b/pkg/jyplace/place_test.go
@@ -0,0 +1,89 @@
+package jyplace_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/jackdawyard/jackdawyard/pkg/jyplace"
+)
+
+func candidate(t *rapid.T) jyplace.Candidate {
+	return jyplace.Candidate{
+		FailChance: rapid.Float64Range(0, 1).Draw(t, "fail"),
+		InFlight:   float64(rapid.IntRange(0, 20).Draw(t, "load")),
+		Slots:      rapid.IntRange(1, 4).Draw(t, "slots"),
+		Slowdown:   1,
+		Distance:   rapid.SampledFrom([]float64{0, 0.025}).Draw(t, "distance"),
+		IsDue:      rapid.Bool().Draw(t, "due"),
+		IsExcluded: rapid.Bool().Draw(t, "excluded"),
+	}
+}
+
+var request = jyplace.Request{Work: 300 * time.Millisecond, Objective: 1200 * time.Millisecond}
+
+func noJitter() float64 { return 0 }
+
+func TestChooseAgreesWithANaiveSearch(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		list := rapid.SliceOfN(rapid.Custom(candidate), 0, 8).Draw(t, "candidates")
+		got := jyplace.Choose(len(list), func(i int) jyplace.Candidate { return list[i] }, request, noJitter)
+		// The naive search looks at the due ones first, and at all others after.
+		want := jyplace.None
+		for _, due := range []bool{true, false} {
+			for i, c := range list {
+				if want != jyplace.None && list[want].IsDue != due {
+					break
+				}
+				if c.IsExcluded || c.IsDue != due {
+					continue
+				}
+				if want == jyplace.None || c.Loss(request) < list[want].Loss(request) {
+					want = i
+				}
+			}
+		}
+		require.Equal(t, want, got)
+	})
+}
+
+func TestLossGrowsWithEachReason(t *testing.T) {
+	base := jyplace.Candidate{FailChance: 0.1, InFlight: 4, Slots: 4, Slowdown: 1}
+	tests := map[string]func(*jyplace.Candidate){
+		"a likelier failure":           func(c *jyplace.Candidate) { c.FailChance = 0.2 },
+		"a longer queue":               func(c *jyplace.Candidate) { c.InFlight = 8 },
+		"a server that starts cold":    func(c *jyplace.Candidate) { c.Slowdown = 2 },
+		"a server that is far away":    func(c *jyplace.Candidate) { c.Distance = 0.025 },
+		"fewer slots at the same load": func(c *jyplace.Candidate) { c.Slots = 2 },
+	}
+	for name, change := range tests {
+		t.Run(name, func(t *testing.T) {
+			worse := base
+			change(&worse)
+			assert.Greater(t, worse.Loss(request), base.Loss(request))
+		})
+	}
+}
+
+func TestARequestThatMayBeRepeatedRisksMore(t *testing.T) {
+	doubtful := jyplace.Candidate{FailChance: 0.3, Slots: 4, Slowdown: 1}
+	busy := jyplace.Candidate{InFlight: 7, Slots: 4, Slowdown: 1}
+	choose := func(r jyplace.Request) int {
+		list := []jyplace.Candidate{doubtful, busy}
+		return jyplace.Choose(len(list), func(i int) jyplace.Candidate { return list[i] }, r, noJitter)
+	}
+	assert.Equal(t, 1, choose(request))
+	repeatable := request
+	repeatable.IsRepeatable = true
+	assert.Equal(t, 0, choose(repeatable))
+}
+
+func TestAServerThatJoinedIsTriedOnce(t *testing.T) {
+	c := jyplace.Candidate{FailChance: 0.3, Slots: 4, Slowdown: 2, IsNew: true}
+	assert.Zero(t, c.Loss(request))
+	c.InFlight = 1
+	assert.Positive(t, c.Loss(request))
+}
--- a/pkg/jyregistry/registry.go
+++ b/pkg/jyregistry/registry.go
@@ -91,6 +91,16 @@
 	return !r.returned.IsZero() && now.Before(r.returned.Add(r.config.ReturnTime))
 }
 
+// UntilExpiry returns how long servers that lapsed may still come back, and whether there are any.
+func (r *Registry) UntilExpiry(now time.Time) (time.Duration, bool) {
+	for _, e := range r.entries {
+		if e.lapsed {
+			return max(0, r.returned.Add(r.config.ReturnTime).Sub(now)), true
+		}
+	}
+	return 0, false
+}
+
 // Expire forgets the servers that did not come back, and reports whether there were any.
 func (r *Registry) Expire(now time.Time) bool {
 	if r.away || r.mayReturn(now) {
--- a/pkg/jyretry/budget.go
+++ b/pkg/jyretry/budget.go
@@ -59,6 +59,12 @@
 	return true
 }
 
+// IsAmple reports whether at least half of what may be saved up is left, so that risks can be taken.
+func (b *Budget) IsAmple(now time.Time) bool {
+	b.fill(now)
+	return b.tokens >= max(1, b.limit/2)
+}
+
 // fill adds what the slack allows for the time since the last call.
 func (b *Budget) fill(now time.Time) {
 	if b.config.Slack <= 0 {
--- a/pkg/jyroute/table_test.go
+++ b/pkg/jyroute/table_test.go
@@ -78,3 +78,39 @@
 		require.Equal(t, want, got.Route.Name)
 	})
 }
+
+func TestARouteOfAHost(t *testing.T) {
+	table := jyroute.NewTable(state(
+		jynote.Route{Name: "any", PathPrefix: "/", Service: "a"},
+		jynote.Route{Name: "host", Host: "shop.example", PathPrefix: "/orders/", Service: "b"},
+	))
+	tests := map[string]struct {
+		host, path string
+		want       jynote.RouteName
+	}{
+		"the host's own":                   {"shop.example", "/orders/7", "host"},
+		"another host":                     {"other.example", "/orders/7", "any"},
+		"a prefix needs its closing slash": {"shop.example", "/orders", "any"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			m, ok := table.Find(jyroute.Request{Host: tt.host, Method: "GET", Path: tt.path})
+			require.True(t, ok)
+			assert.Equal(t, tt.want, m.Route.Name)
+		})
+	}
+}
+
+func TestASplitKeepsItsWeights(t *testing.T) {
+	table := jyroute.NewTable(state(jynote.Route{
+		Name: "split", PathPrefix: "/", Split: []jynote.Share{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}},
+	}))
+	const draws = 1000
+	counts := map[jynote.ServiceName]int{}
+	for i := range draws {
+		m, ok := table.Find(jyroute.Request{Method: "GET", Path: "/x", Draw: float64(i) / draws})
+		require.True(t, ok)
+		counts[m.Service.Name]++
+	}
+	assert.Equal(t, map[jynote.ServiceName]int{"a": 900, "b": 100}, counts)
+}
--- /dev/null
+++ b/scenario/platform_test.go
@@ -0,0 +1,267 @@
+package scenario_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/jackdawyard/jackdawyard/internal/jystandin"
+	jyhoststandin "github.com/jackdawyard/jackdawyard/platform/standin"
+)
+
+// hosted is an instance that follows the platform's store, as a process of its own.
+type hosted struct {
+	t       *testing.T
+	store   *jyhoststandin.Store
+	caller  string
+	ready   string
+	process *exec.Cmd
+	ended   chan struct{}
+	count   int
+}
+
+func hostedConfiguration(version int, service string) []byte {
+	return fmt.Appendf(nil, `{"Version":%d,"Resources":[
+{"ResourceKind":"Routes","Metadata":{"Name":"safe"},"Specification":{"Host":"a.example","PathPrefix":"/safe/","Kind":"safe","Timeout":"1000ms","LatencyGoal":"500ms","Priority":2,"Service":"%s","MaxAttempts":2}},
+{"ResourceKind":"Routes","Metadata":{"Name":"unsafe"},"Specification":{"Host":"a.example","PathPrefix":"/unsafe/","Kind":"unsafe","Timeout":"1000ms","LatencyGoal":"500ms","Priority":1,"Service":"%s","MaxAttempts":2}},
+{"ResourceKind":"Services","Metadata":{"Name":"s1"},"Specification":{"HealthPath":"/health","MaxConnections":300}},
+{"ResourceKind":"Services","Metadata":{"Name":"s2"},"Specification":{"HealthPath":"/health","MaxConnections":300}},
+{"ResourceKind":"Limits","Metadata":{},"Specification":{"MaxHeaderBytes":16384,"MaxBodyBytes":100000,"HeaderTimeout":"3000ms","IdleTimeout":"15000ms"}}]}`,
+		version, service, service)
+}
+
+// startHosted starts an instance before the servers, and waits until it is ready.
+func startHosted(t *testing.T, servers ...*jyhoststandin.Server) *hosted {
+	h := &hosted{t: t, store: jyhoststandin.NewStore(), ended: make(chan struct{})}
+	for _, s := range servers {
+		t.Cleanup(s.Close)
+		h.store.Put(s.Key(), s.Entry("ready", 1))
+	}
+	h.store.Put("op/config", hostedConfiguration(3, "s1"))
+	front := httptest.NewServer(h.store)
+	t.Cleanup(front.CloseClientConnections)
+	var address [3]string
+	for i := range address {
+		free, err := jystandin.FreeAddress()
+		require.NoError(t, err)
+		address[i] = free
+	}
+	h.caller, h.ready = address[0], address[2]
+	file := filepath.Join(t.TempDir(), "entry.ini")
+	text := fmt.Sprintf("[Instance]\nName = entry-1\nDataCentre = dc-1\nCallerAddress = %s\nPeerAddress = %s\nOperatorAddress = %s\nBalancerNotice = 200ms\n"+
+		"[Platform]\nSource = Store\nConfigurationAddress = %s\n[Peers]\nPlaintextLoopback = true\n[BackendServers]\nPlacing = Loss\nRetryBudgetSlack = 50\nIdleProofOfLife = 5s\n",
+		address[0], address[1], address[2], front.URL)
+	require.NoError(t, os.WriteFile(file, []byte(text), 0o600))
+	h.process = exec.Command(program, "--quiet", "serve")
+	h.process.Env = append(os.Environ(), "JACKDAWYARD_CONFIG="+file)
+	h.process.Stderr = os.Stderr
+	require.NoError(t, h.process.Start())
+	go func() {
+		_ = h.process.Wait()
+		close(h.ended)
+	}()
+	t.Cleanup(func() {
+		_ = h.process.Process.Kill()
+		<-h.ended
+	})
+	h.eventually(func() bool { return h.isReady() })
+	return h
+}
+
+func (h *hosted) eventually(what func() bool) {
+	h.t.Helper()
+	require.Eventually(h.t, what, patience, pollInterval)
+}
+
+func (h *hosted) isReady() bool {
+	resp, err := http.Get("http://" + h.ready + "/ready")
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+type hostedAnswer struct {
+	id     string
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+// ask sends a request with an id of its own.
+func (h *hosted) ask(method, path string) hostedAnswer {
+	h.count++
+	return h.askAs(fmt.Sprintf("request-%d", h.count), method, path)
+}
+
+func (h *hosted) askAs(id, method, path string) hostedAnswer {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+h.caller+path, strings.NewReader("body"))
+	if err != nil {
+		return hostedAnswer{err: err}
+	}
+	req.Host = "a.example"
+	req.Header.Set("Attempt-Id", id)
+	req.Header.Set("Time-Budget-Ms", "5000")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return hostedAnswer{id: id, err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	return hostedAnswer{id: id, status: resp.StatusCode, header: resp.Header, body: string(body), err: err}
+}
+
+func TestAHostedInstancePassesTheServersWholeAnswerOn(t *testing.T) {
+	server := jyhoststandin.NewServer("i-1", "s1")
+	h := startHosted(t, server)
+	a := h.ask(http.MethodPost, "/unsafe/x?y=%2F&z")
+	require.NoError(t, a.err)
+	assert.Equal(t, http.StatusOK, a.status)
+	assert.Equal(t, "answer to "+a.id, a.body)
+	assert.Equal(t, "signature-"+a.id, a.header.Get("Response-Signature"))
+	seen := server.Headers()[0]
+	assert.Equal(t, "i-1", seen.Get("Expected-Instance"))
+	assert.Equal(t, a.id, seen.Get("Attempt-Id"))
+	assert.NotEmpty(t, seen.Get("Time-Budget-Ms"))
+	assert.Less(t, len(seen.Get("Time-Budget-Ms")), 4, "the route's timeout is shorter than the caller's time")
+	assert.Equal(t, http.StatusNotFound, h.ask(http.MethodGet, "/none/x").status)
+	assert.Equal(t, http.StatusNotFound, h.ask(http.MethodGet, "/safe").status)
+}
+
+func TestWhatBecomesOfANonIdempotentRequestAtAFaultyServer(t *testing.T) {
+	tests := map[jyhoststandin.Fault]struct {
+		status int
+		runs   int
+	}{
+		jyhoststandin.Errors:    {http.StatusInternalServerError, 1},
+		jyhoststandin.Shed:      {http.StatusServiceUnavailable, 0},
+		jyhoststandin.Hang:      {http.StatusGatewayTimeout, 1},
+		jyhoststandin.Reset:     {http.StatusBadGateway, 1},
+		jyhoststandin.Unsigned:  {http.StatusBadGateway, 1},
+		jyhoststandin.Truncated: {http.StatusBadGateway, 1},
+		jyhoststandin.Encoded:   {http.StatusBadGateway, 1},
+		jyhoststandin.Stray:     {http.StatusOK, 1},
+		jyhoststandin.Extra:     {http.StatusOK, 1},
+	}
+	server := jyhoststandin.NewServer("i-1", "s1")
+	h := startHosted(t, server)
+	for fault, tt := range tests {
+		t.Run(string(fault), func(t *testing.T) {
+			server.SetFault(fault)
+			a := h.ask(http.MethodPost, "/unsafe/x")
+			require.NoError(t, a.err)
+			assert.Equal(t, tt.status, a.status)
+			assert.Equal(t, tt.runs, server.Runs()[a.id])
+			server.SetFault(jyhoststandin.None)
+			again := h.ask(http.MethodPost, "/unsafe/x")
+			require.NoError(t, again.err)
+			assert.Equal(t, "answer to "+again.id, again.body, "nothing is left of the faulty answer")
+		})
+	}
+}
+
+func TestAnIdempotentRequestIsSentToAnotherServer(t *testing.T) {
+	for _, fault := range []jyhoststandin.Fault{jyhoststandin.Errors, jyhoststandin.Shed, jyhoststandin.Reset, jyhoststandin.Unsigned, jyhoststandin.Truncated} {
+		t.Run(string(fault), func(t *testing.T) {
+			bad, good := jyhoststandin.NewServer("i-1", "s1"), jyhoststandin.NewServer("i-2", "s1")
+			h := startHosted(t, bad, good)
+			bad.SetFault(fault)
+			for range 5 {
+				a := h.ask(http.MethodGet, "/safe/x")
+				require.NoError(t, a.err)
+				assert.Equal(t, "answer to "+a.id, a.body)
+			}
+		})
+	}
+}
+
+func TestADrainingServerGetsNoNewRequest(t *testing.T) {
+	leaving, staying := jyhoststandin.NewServer("i-1", "s1"), jyhoststandin.NewServer("i-2", "s1")
+	h := startHosted(t, leaving, staying)
+	h.store.Put(leaving.Key(), leaving.Entry("draining", 2))
+	h.eventually(func() bool {
+		before := len(leaving.Runs())
+		for range 10 {
+			h.ask(http.MethodGet, "/safe/x")
+		}
+		return len(leaving.Runs()) == before
+	})
+	for range 20 {
+		a := h.ask(http.MethodPost, "/unsafe/x")
+		require.NoError(t, a.err)
+		assert.Zero(t, leaving.Runs()[a.id])
+	}
+}
+
+func TestARouteThatMovedStaysWhereItIs(t *testing.T) {
+	first, second := jyhoststandin.NewServer("i-1", "s1"), jyhoststandin.NewServer("i-2", "s2")
+	h := startHosted(t, first, second)
+	h.store.Put("op/config", hostedConfiguration(9, "s2"))
+	h.eventually(func() bool {
+		a := h.ask(http.MethodPost, "/unsafe/x")
+		return second.Runs()[a.id] == 1
+	})
+	h.store.Put("op/config", hostedConfiguration(5, "s1"))
+	h.store.Compact()
+	for range 20 {
+		a := h.ask(http.MethodPost, "/unsafe/x")
+		require.NoError(t, a.err)
+		assert.Equal(t, 1, second.Runs()[a.id], "an older version never comes into force")
+		time.Sleep(pollInterval)
+	}
+}
+
+func TestTheStoreMayBeAway(t *testing.T) {
+	server := jyhoststandin.NewServer("i-1", "s1")
+	h := startHosted(t, server)
+	h.store.SetAway(true)
+	for range 10 {
+		assert.Equal(t, http.StatusOK, h.ask(http.MethodPost, "/unsafe/x").status)
+		time.Sleep(pollInterval)
+	}
+	assert.True(t, h.isReady())
+	h.store.SetAway(false)
+	h.store.Put("op/config", hostedConfiguration(9, "s2"))
+	h.eventually(func() bool { return h.ask(http.MethodPost, "/unsafe/x").status == http.StatusServiceUnavailable })
+}
+
+func TestAHostedInstanceEndsWithoutCuttingRequestsOff(t *testing.T) {
+	server := jyhoststandin.NewServer("i-1", "s1")
+	h := startHosted(t, server)
+	require.NoError(t, h.process.Process.Signal(syscall.SIGHUP), "a signal to read the settings again ends nothing")
+	server.SetDelay(600 * time.Millisecond)
+	var wg sync.WaitGroup
+	answers := make([]hostedAnswer, 8)
+	for i := range answers {
+		wg.Go(func() { answers[i] = h.askAs(fmt.Sprintf("long-%d", i), http.MethodPost, "/unsafe/x") })
+	}
+	h.eventually(func() bool { return len(server.Runs()) == len(answers) })
+	require.NoError(t, h.process.Process.Signal(syscall.SIGTERM))
+	h.eventually(func() bool { return !h.isReady() })
+	wg.Wait()
+	for _, a := range answers {
+		require.NoError(t, a.err)
+		assert.Equal(t, "answer to "+a.id, a.body)
+	}
+	<-h.ended
+	_, err := net.DialTimeout("tcp", h.caller, time.Second)
+	assert.Error(t, err)
+}
