Explain a failed request from the logs, and show metrics at an address of their own

Found by its test: a retry that found no other server was reported as overload; it now keeps the reason of the last attempt.

--- a/internal/jybackend/hearsay.go
+++ b/internal/jybackend/hearsay.go
@@ -49,7 +49,7 @@
 	}
 	for outcome, count := range h.Outcomes {
 		for range count {
-			s.health.observe(now, jybelief.Outcome(outcome))
+			s.observe(now, jybelief.Outcome(outcome), from.Name)
 		}
 	}
 }
--- a/internal/jybackend/loss.go
+++ b/internal/jybackend/loss.go
@@ -1,10 +1,12 @@
 package jybackend
 
 import (
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
 
+	"github.com/jackdawyard/jackdawyard/internal/jylog"
 	"github.com/jackdawyard/jackdawyard/pkg/jybelief"
 	"github.com/jackdawyard/jackdawyard/pkg/jyfault"
 	"github.com/jackdawyard/jackdawyard/pkg/jyplace"
@@ -36,10 +38,36 @@
 	coldUntil time.Time
 }
 
-func (h *health) observe(now time.Time, o jybelief.Outcome) {
+// observe takes an outcome and returns the chance of being gray before and after it.
+func (h *health) observe(now time.Time, o jybelief.Outcome) (before, after float64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	before = grayModel.GrayChance(h.belief, now)
 	h.belief = grayModel.Observe(h.belief, now, o)
+	return before, grayModel.GrayChance(h.belief, now)
+}
+
+// doubted is the chance of being gray from which on a server is shown as doubted.
+const doubted = 0.5
+
+// beliefLines bounds the log lines a second about changes of belief.
+const beliefLines = 20
+
+// Rounded returns a chance in thousandths, for the log.
+func Rounded(chance float64) float64 { return math.Round(chance*1000) / 1000 }
+
+// own is the source of what this instance saw itself.
+const own = "own"
+
+// observe takes an outcome, seen here or by the instance named as source, and logs where it changes what is believed.
+func (s *Server) observe(now time.Time, o jybelief.Outcome, source string) {
+	before, after := s.health.observe(now, o)
+	switch {
+	case before < doubted && after >= doubted:
+		jylog.ServerDoubted.LogAtMost(beliefLines, s.Info.Service, s.Info.Name, Rounded(after), o, source)
+	case before >= doubted && after < doubted:
+		jylog.ServerTrusted.LogAtMost(beliefLines, s.Info.Service, s.Info.Name, Rounded(after), source)
+	}
 }
 
 // outlook returns the chance that a request fails now, and how much longer than usual it takes.
@@ -89,7 +117,7 @@
 
 // NoteSilence records that an answer is overdue.
 func (v *Service) NoteSilence(s *Server) {
-	s.health.observe(time.Now(), jybelief.Silent)
+	s.observe(time.Now(), jybelief.Silent, own)
 	if v.observer != nil {
 		v.observer.Ended(s, jybelief.Silent, true)
 	}
@@ -116,12 +144,13 @@
 	}
 	s := v.Servers[i]
 	load := s.load(now)
+	failChance, _, _ := s.health.outlook(now)
 	s.inFlight.Add(1)
 	s.markUsed(now)
 	if v.observer != nil {
 		v.observer.Started(s)
 	}
-	return Placement{Server: s, Load: load}, nil
+	return Placement{Server: s, Load: load, FailChance: failChance}, nil
 }
 
 func (v *Service) candidate(now time.Time, s *Server, n Need) jyplace.Candidate {
--- a/internal/jybackend/server.go
+++ b/internal/jybackend/server.go
@@ -91,7 +91,7 @@
 	tells = tells && !(wasSilent && r == Answered)
 	if tells {
 		now := time.Now()
-		s.health.observe(now, outcome)
+		s.observe(now, outcome, own)
 		if outcome == jybelief.Answered {
 			v.coverage.observe(now, Finished{Served: 1})
 		}
--- a/internal/jybackend/service.go
+++ b/internal/jybackend/service.go
@@ -101,6 +101,8 @@
 	Server *Server
 	// Load is the number of requests that the server held before, as far as known here.
 	Load int
+	// FailChance is the chance to fail that was believed when the server was chosen.
+	FailChance float64
 }
 
 // hasSlot reports whether a slot seemed free, so that the request was worked on at once.
--- /dev/null
+++ b/internal/jycommand/explain.go
@@ -0,0 +1,45 @@
+package jycommand
+
+import (
+	"context"
+	"errors"
+	"os"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/jackdawyard/jackdawyard/internal/jyexplain"
+)
+
+var errNoRequest = errors.New("usage: explain REQUEST-ID FILE...")
+
+func explainCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "explain",
+		Usage:     "gather from the logs of several instances what became of a request, and why",
+		ArgsUsage: "REQUEST-ID FILE...",
+		Action: func(_ context.Context, c *cli.Command) error {
+			args := c.Args().Slice()
+			if len(args) < 2 {
+				return errNoRequest
+			}
+			var lines []jyexplain.Line
+			for _, name := range args[1:] {
+				part, err := read(name)
+				if err != nil {
+					return err
+				}
+				lines = append(lines, part...)
+			}
+			return jyexplain.Write(c.Root().Writer, args[0], lines)
+		},
+	}
+}
+
+func read(name string) ([]jyexplain.Line, error) {
+	file, err := os.Open(name)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = file.Close() }()
+	return jyexplain.Read(name, file)
+}
--- a/internal/jycommand/main.go
+++ b/internal/jycommand/main.go
@@ -4,12 +4,15 @@
 	"context"
 	"flag"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"syscall"
 
 	"github.com/urfave/cli/v3"
 	"k8s.io/klog/v2"
+
+	"github.com/jackdawyard/jackdawyard/internal/jylog"
 )
 
 // Version is the version of this program.
@@ -24,15 +27,17 @@
 func Main(args []string) int {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	out := jylog.NewWriter(os.Stdout)
+	defer out.Close()
 	defer klog.Flush()
-	if err := root().Run(ctx, args); err != nil {
+	if err := root(out).Run(ctx, args); err != nil {
 		fmt.Fprintln(os.Stderr, "jackdawyard:", err)
 		return exitFailed
 	}
 	return 0
 }
 
-func root() *cli.Command {
+func root(log io.Writer) *cli.Command {
 	return &cli.Command{
 		Name:    "jackdawyard",
 		Usage:   "a proxy fleet for backend servers that fail partially and quietly",
@@ -41,32 +46,29 @@
 			&cli.BoolFlag{Name: "quiet", Usage: "log alarms only"},
 		},
 		Before: func(ctx context.Context, c *cli.Command) (context.Context, error) {
-			return ctx, setUpLog(c.Bool("quiet"))
+			return ctx, setUpLog(log, c.Bool("quiet"))
 		},
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 		Commands: []*cli.Command{
 			serveCommand(), checkCommand(), statusCommand(), reportCommand(), standinCommand(),
-			loadCommand(), experimentCommand(), demoCommand(), documentCommand(), versionCommand(),
+			explainCommand(), loadCommand(), experimentCommand(), demoCommand(), documentCommand(), versionCommand(),
 		},
 	}
 }
 
-func setUpLog(quiet bool) error {
+// setUpLog sends each line to out once; quiet leaves all but alarms out.
+func setUpLog(out io.Writer, quiet bool) error {
 	flags := flag.NewFlagSet("klog", flag.ContinueOnError)
 	klog.InitFlags(flags)
-	if !quiet {
-		return nil
-	}
-	if err := flags.Set("logtostderr", "false"); err != nil {
-		return err
-	}
-	if err := flags.Set("alsologtostderr", "false"); err != nil {
-		return err
+	for name, value := range map[string]string{"logtostderr": "false", "one_output": "true", "stderrthreshold": "FATAL"} {
+		if err := flags.Set(name, value); err != nil {
+			return err
+		}
 	}
-	if err := flags.Set("stderrthreshold", "ERROR"); err != nil {
-		return err
+	klog.SetOutput(out)
+	if quiet {
+		klog.SetOutputBySeverity("INFO", discard{})
 	}
-	klog.SetOutputBySeverity("INFO", discard{})
 	return nil
 }
 
--- a/internal/jylog/catalogue.go
+++ b/internal/jylog/catalogue.go
@@ -41,6 +41,9 @@
 	ConnectionQuiet = define(306, Info, "silent connection dropped", "Look for a device that drops idle flows if there are many.", "Server")
 	RequestBlocked  = define(307, Alarm, "request blocked: it ended backend servers", "Look at the request's content.", "Fingerprint", "Servers")
 
+	ServerDoubted = define(308, Info, "backend server is believed gray", "Look at the backend server if it stays so; requests avoid it meanwhile.", "Service", "Server", "GrayChance", "Outcome", "Source")
+	ServerTrusted = define(309, Info, "backend server is believed well again", "None.", "Service", "Server", "GrayChance", "Source")
+
 	MemberJoined  = define(400, Info, "instance joined", "None.", "Instance", "Boot")
 	MemberSuspect = define(401, Info, "instance suspected", "None unless it is followed by 402.", "Instance")
 	MemberDead    = define(402, Alarm, "instance lost", "Check that the platform replaces it.", "Instance")
@@ -52,4 +55,11 @@
 	HandOverDone   = define(500, Info, "request ids handed over", "None.", "Successor", "Records")
 	HandOverFailed = define(501, Alarm, "request ids not handed over", "Resends of the last minutes are answered Unknown.", "Cause")
 	HandOverTaken  = define(502, Info, "request ids taken over", "None.", "From", "Records")
+
+	RequestServed  = define(600, Info, "request served", "None; a sample.", "Request", "Route", "Service", "Server", "Status", "Attempts", "Milliseconds", "FailChance", "Load", "Number", "Revision")
+	RequestRefused = define(601, Info, "request refused before it ran", "Look at the reason; the caller may come back.", "Request", "Route", "Service", "Reason", "Status", "Attempts", "Milliseconds", "Server", "FailChance", "Load", "Number", "Revision")
+	RequestFailed  = define(602, Info, "request failed", "Look at the reason and at the backend server.", "Request", "Route", "Service", "Reason", "Status", "Attempts", "Milliseconds", "Server", "FailChance", "Load", "Number", "Revision")
+	RequestRetried = define(603, Info, "request sent to another backend server", "None.", "Request", "Service", "Server", "Reason", "Attempts", "Milliseconds", "FailChance", "Load")
+	RequestSilent  = define(604, Info, "answer is overdue", "None unless it is followed by 602.", "Request", "Service", "Server", "Milliseconds", "Load")
+	LinesLeftOut   = define(690, Info, "lines left out to bound the log", "None; counters are complete.", "Left", "Count")
 )
--- a/internal/jylog/event.go
+++ b/internal/jylog/event.go
@@ -21,15 +21,17 @@
 }
 
 // Log writes the event with the values of its fields.
-func (e Event) Log(values ...any) {
+func (e Event) Log(values ...any) { e.logDepth(1, values) }
+
+func (e Event) logDepth(depth int, values []any) {
 	pairs := make([]any, 0, 2+2*len(values))
 	pairs = append(pairs, "Event", e.Number)
 	for i, v := range values {
 		pairs = append(pairs, e.Fields[i], v)
 	}
 	if e.Severity == Alarm {
-		klog.ErrorSDepth(1, nil, e.Message, pairs...)
+		klog.ErrorSDepth(depth+1, nil, e.Message, pairs...)
 		return
 	}
-	klog.InfoSDepth(1, e.Message, pairs...)
+	klog.InfoSDepth(depth+1, e.Message, pairs...)
 }
--- a/internal/jynode/node.go
+++ b/internal/jynode/node.go
@@ -40,6 +40,7 @@
 	ServiceEvidence  jykernel.Name = "Evidence"
 	ServiceSignals   jykernel.Name = "Signals"
 	ServiceSettings  jykernel.Name = "Settings"
+	ServiceMetrics   jykernel.Name = "Metrics"
 	ServiceOperators jykernel.Name = "Operators"
 	ServiceGauges    jykernel.Name = "Gauges"
 	ServiceCallers   jykernel.Name = "Callers"
@@ -233,6 +234,13 @@
 			namedService{ServiceInstances, jyrelease.ListWatch{Release: n.release}},
 			namedService{ServiceEvidence, n.evidence})
 	}
+	if s.MetricsAddress != "" {
+		metrics, err := newMetricsServer(n)
+		if err != nil {
+			return err
+		}
+		services = append(services, namedService{ServiceMetrics, metrics})
+	}
 	if n.signals != nil {
 		services = append(services, namedService{ServiceSignals, n.signals})
 	}
--- a/internal/jynode/operator_server.go
+++ b/internal/jynode/operator_server.go
@@ -50,6 +50,17 @@
 	return &operatorServer{listener: listener, http: &http.Server{Handler: e, ReadHeaderTimeout: headerTimeout}}, nil
 }
 
+// newMetricsServer serves the metrics alone.
+func newMetricsServer(n *Node) (*operatorServer, error) {
+	listener, err := net.Listen("tcp", n.settings.MetricsAddress)
+	if err != nil {
+		return nil, jyfault.New("listen for metrics", NoAddress, "%w", err)
+	}
+	mux := http.NewServeMux()
+	mux.Handle(PathMetrics, n.metrics.Handler())
+	return &operatorServer{listener: listener, http: &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}}, nil
+}
+
 // Run serves until ctx ends.
 func (o *operatorServer) Run(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { _ = o.http.Close() })
--- a/internal/jyproxy/attempt.go
+++ b/internal/jyproxy/attempt.go
@@ -111,6 +111,7 @@
 	a.overdue = time.AfterFunc(patience, func() {
 		a.wasSilent.Store(true)
 		service.NoteSilence(a.server)
+		a.request.logSilence(a.placement, time.Since(a.started))
 	})
 }
 
--- a/internal/jyproxy/forwarder.go
+++ b/internal/jyproxy/forwarder.go
@@ -1,6 +1,7 @@
 package jyproxy
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"sync/atomic"
@@ -75,9 +76,11 @@
 		}
 		placement, err := r.service.Choose(now, jybackend.Need{Idempotent: r.match.Idempotent, Exclude: r.tried, Objective: r.objective(), IsRepeatable: r.isRepeatable()})
 		if err != nil {
-			return nil, f.refuse(r, noServerReason(r.service))
+			// Where no other server is left, what became of the last attempt is the reason.
+			return nil, f.refuse(r, cmp.Or(r.reason, noServerReason(r.service)))
 		}
 		server := placement.Server
+		r.last = placement
 		r.tried = append(r.tried, server)
 		a := &attempt{forwarder: f, request: r, server: server, placement: placement}
 		out, failure := a.run(ctx)
@@ -86,6 +89,7 @@
 		}
 		if failure == nil && f.retriesAnswer(r, out) {
 			out.discard()
+			r.logRetry(jyoutcome.ServerError)
 			r.mayHaveRun = true
 			continue
 		}
@@ -107,6 +111,8 @@
 		if !decision.Retry {
 			return nil, &decision.Refusal
 		}
+		r.reason = failure.Reason
+		r.logRetry(failure.Reason)
 		r.mayHaveRun = r.mayHaveRun || !failure.CertainlyNotRun
 	}
 }
--- a/internal/jyproxy/proxy.go
+++ b/internal/jyproxy/proxy.go
@@ -68,6 +68,7 @@
 		caller: p.callerOf(in, remote), remote: remote, arrived: time.Now(),
 	}
 	if refusal := p.admit(r); refusal != nil {
+		r.logEnd(refusal.Outcome, refusal.Reason, refusal.Status)
 		p.refuse(w, r, refusal)
 		return
 	}
@@ -81,6 +82,7 @@
 		refusal = p.prepare(r, in)
 	}
 	if refusal != nil {
+		r.logEnd(refusal.Outcome, refusal.Reason, refusal.Status)
 		p.refuse(w, r, refusal)
 		return
 	}
@@ -129,7 +131,7 @@
 			Detail: "No route fits this method and path.",
 		}
 	}
-	r.match = match
+	r.match, r.state = match, snapshot.State
 	r.service = snapshot.Service(match.Service.Name)
 	r.deadline = r.arrived.Add(timeoutOf(match))
 	return nil
@@ -173,16 +175,17 @@
 	}
 	a, refusal := p.config.Forwarder.forward(ctx, r)
 	if refusal != nil {
-		p.record(r, refusal.Outcome, refusal.Status)
+		p.record(r, refusal.Outcome, refusal.Reason, refusal.Status)
 		p.refuse(w, r, refusal)
 		return
 	}
-	p.record(r, jyoutcome.Complete, a.status)
+	p.record(r, jyoutcome.Complete, "", a.status)
 	a.hasOutcome = p.config.Dialect.OwnHeaders
 	a.write(w, p.config.MaxAnswerBytes, r.method == http.MethodHead)
 }
 
-func (p *Proxy) record(r *request, o jyoutcome.Outcome, status int) {
+func (p *Proxy) record(r *request, o jyoutcome.Outcome, reason jyoutcome.Reason, status int) {
+	r.logEnd(o, reason, status)
 	p.config.Recorder.Record(r.match.Service.Name, o, status, time.Since(r.arrived))
 }
 
@@ -201,11 +204,11 @@
 	result := p.identified(ctx, r, id)
 	if result.Outcome != jyoutcome.Complete || result.Answer == nil {
 		refusal := refusalFor(result)
-		p.record(r, refusal.Outcome, refusal.Status)
+		p.record(r, refusal.Outcome, refusal.Reason, refusal.Status)
 		_ = refusal.Write(w)
 		return
 	}
-	p.record(r, jyoutcome.Complete, result.Answer.Status)
+	p.record(r, jyoutcome.Complete, "", result.Answer.Status)
 	a := &answer{hasOutcome: true, status: result.Answer.Status, header: result.Answer.Header, body: result.Answer.Body}
 	a.write(w, p.config.MaxAnswerBytes, r.method == http.MethodHead)
 }
--- a/internal/jyproxy/request.go
+++ b/internal/jyproxy/request.go
@@ -43,7 +43,11 @@
 	deadline   time.Time
 	attempts   int
 	mayHaveRun bool
+	reason     jyoutcome.Reason // of the last failed attempt
 	tried      []*jybackend.Server
+	// last is the placement of the last attempt, and state what was in force when the request was routed.
+	last  jybackend.Placement
+	state jynote.State
 }
 
 func (r *request) replayable() bool { return r.stream == nil }
@@ -58,10 +62,7 @@
 
 // lastServer returns the backend server that was tried last, or nil.
 func (r *request) lastServer() *jybackend.Server {
-	if len(r.tried) == 0 {
-		return nil
-	}
-	return r.tried[len(r.tried)-1]
+	return r.last.Server
 }
 
 // objective returns the latency that the caller is promised.
--- a/internal/jysettings/settings.go
+++ b/internal/jysettings/settings.go
@@ -32,6 +32,8 @@
 	CallerAddress   string
 	PeerAddress     string
 	OperatorAddress string
+	// MetricsAddress is empty where OperatorAddress serves.
+	MetricsAddress string
 	// AdvertisedAddress is empty where PeerAddress serves.
 	AdvertisedAddress string
 	MemoryLimit       int64
--- a/pkg/jybelief/outcome.go
+++ b/pkg/jybelief/outcome.go
@@ -16,6 +16,11 @@
 	outcomes
 )
 
+// String returns the name of the outcome.
+func (o Outcome) String() string {
+	return [...]string{"Answered", "FailedEarly", "FailedLate", "Silent"}[o]
+}
+
 // Likelihood holds the chance of each outcome.
 type Likelihood [outcomes]float64
 
--- a/pkg/jyoutcome/reason.go
+++ b/pkg/jyoutcome/reason.go
@@ -16,6 +16,7 @@
 	ConnectFailed      Reason = "ConnectFailed"
 	DeclaredNotRun     Reason = "DeclaredNotRun"
 	AnswerLost         Reason = "AnswerLost"
+	ServerError        Reason = "ServerError"
 	AnswerTooLarge     Reason = "AnswerTooLarge"
 	RequestBlocked     Reason = "RequestBlocked"
 	RequestIDInvalid   Reason = "RequestIdInvalid"
--- a/scenario/platform_test.go
+++ b/scenario/platform_test.go
@@ -30,6 +30,7 @@
 	caller  string
 	ready   string
 	process *exec.Cmd
+	log     string // the file with its log
 	ended   chan struct{}
 	count   int
 }
@@ -66,9 +67,13 @@
 		"[Platform]\nSource = Store\nConfigurationAddress = %s\n[Peers]\nPlaintextLoopback = true\n[BackendServers]\nPlacing = Loss\nRetryBudgetSlack = 50\nIdleProofOfLife = 5s\n",
 		address[0], address[1], address[2], front.URL)
 	require.NoError(t, os.WriteFile(file, []byte(text), 0o600))
-	h.process = exec.Command(program, "--quiet", "serve")
+	h.log = filepath.Join(t.TempDir(), "entry.log")
+	out, err := os.Create(h.log)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = out.Close() })
+	h.process = exec.Command(program, "serve")
 	h.process.Env = append(os.Environ(), "JACKDAWYARD_CONFIG="+file)
-	h.process.Stderr = os.Stderr
+	h.process.Stdout, h.process.Stderr = out, os.Stderr
 	require.NoError(t, h.process.Start())
 	go func() {
 		_ = h.process.Wait()
@@ -265,3 +270,27 @@
 	_, err := net.DialTimeout("tcp", h.caller, time.Second)
 	assert.Error(t, err)
 }
+
+func TestTheCauseOfAFailureIsFoundInTheLog(t *testing.T) {
+	tests := map[string]struct {
+		fault  jyhoststandin.Fault
+		reason string
+	}{
+		"refused, since the server shed it":         {jyhoststandin.Shed, "said that it did not run the request"},
+		"failed at a gray server after one attempt": {jyhoststandin.Errors, "the backend server answered with an error"},
+		"unknown after a lost connection":           {jyhoststandin.Reset, "it may have run"},
+	}
+	server := jyhoststandin.NewServer("i-1", "s1")
+	h := startHosted(t, server)
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			server.SetFault(tt.fault)
+			a := h.ask(http.MethodPost, "/unsafe/x")
+			require.NoError(t, a.err)
+			h.eventually(func() bool {
+				told, err := exec.Command(program, "explain", a.id, h.log).CombinedOutput()
+				return err == nil && strings.Contains(string(told), tt.reason) && strings.Contains(string(told), "Server=i-1-")
+			})
+		})
+	}
+}
