--- a/internal/jybackend/directory.go
+++ b/internal/jybackend/directory.go
@@ -18,8 +18,8 @@
 	ConnectTimeout   time.Duration
 	MaxIdle          time.Duration
 	RetryBudgetShare float64
-	// RetryBudgetSlack is the number of retries that the whole fleet may make beyond the share.
-	RetryBudgetSlack int
+	// RetryBudgetSlack returns the retries that this instance may make beyond the share in each window; nil stands for none.
+	RetryBudgetSlack func() float64
 	// ByLoss chooses servers by expected loss from DataCentre; else by free slots among those that are not ejected.
 	ByLoss     bool
 	DataCentre string
@@ -200,7 +200,10 @@
 }
 
 func (d *Directory) slack() float64 {
-	return float64(d.config.RetryBudgetSlack) / float64(max(1, d.config.Instances()))
+	if d.config.RetryBudgetSlack == nil {
+		return 0
+	}
+	return d.config.RetryBudgetSlack()
 }
 
 // retryWindow is the time in which the slack of the retry budget may be used.
--- a/internal/jynode/node.go
+++ b/internal/jynode/node.go
@@ -56,6 +56,7 @@
 type Node struct {
 	settings  jysettings.Settings
 	boot      jymember.Boot
+	started   time.Time
 	kernel    *jykernel.Kernel
 	directory *jybackend.Directory
 	source    source
@@ -79,6 +80,7 @@
 	n := &Node{
 		settings: s,
 		boot:     jymember.Boot(time.Now().UnixMilli()),
+		started:  time.Now(),
 		kernel:   jykernel.New(),
 		metrics:  jymetric.New(),
 		draining: make(chan struct{}),
@@ -89,7 +91,7 @@
 	}
 	n.directory = jybackend.NewDirectory(jybackend.Config{
 		ConnectTimeout: s.ConnectTimeout, MaxIdle: s.MaxIdle,
-		RetryBudgetShare: s.RetryBudgetShare, RetryBudgetSlack: s.RetryBudgetSlack,
+		RetryBudgetShare: s.RetryBudgetShare, RetryBudgetSlack: n.retrySlack,
 		ByLoss: s.Placing == jysettings.PlacingLoss, DataCentre: s.DataCentre,
 		Instance: s.Name, Instances: n.countInstances, IsNear: n.isNear,
 	})
@@ -255,6 +257,19 @@
 // countInstances returns the instances that share the backend servers.
 func (n *Node) countInstances() int { return n.fleet.WorkingCount() }
 
+// settleTime is how long an instance that knows no other takes none of the fleet's slack: it has not met them yet.
+const settleTime = 5 * time.Second
+
+// retrySlack is this instance's part of the retries that the fleet may make beyond their share. Those that died count: in
+// a partition each side would take the others for dead.
+func (n *Node) retrySlack() float64 {
+	others := len(n.fleet.Members())
+	if others == 0 && time.Since(n.started) < settleTime {
+		return 0
+	}
+	return float64(n.settings.RetryBudgetSlack) / float64(others+1)
+}
+
 // isNear reports whether a data centre is in this instance's region; one of which no instance is known counts as near.
 func (n *Node) isNear(centre jynote.DataCentreName) bool {
 	for _, m := range n.fleet.Working() {
--- a/pkg/jyplace/place.go
+++ b/pkg/jyplace/place.go
@@ -40,8 +40,8 @@
 // lateWorth is the share of its worth that an answer keeps beyond the objective.
 const lateWorth = 0.3
 
-// exploration is the part of a chance to fail that counts: what a server of which little is known answers is worth knowing.
-const exploration = 0.4
+// exploration is the part of a chance to fail that does not count where it is as likely as not: the answer is worth knowing.
+const exploration = 0.6
 
 // repetition is the part of a chance to fail that counts where another server may be tried.
 const repetition = 0.15
@@ -58,7 +58,7 @@
 	if c.IsNew && c.InFlight == 0 {
 		return 0
 	}
-	fail := c.FailChance * exploration
+	fail := c.FailChance * (1 - exploration*c.doubt())
 	if r.IsRepeatable {
 		fail *= repetition
 	}
@@ -66,6 +66,9 @@
 	return 1 - served + c.Distance
 }
 
+// doubt returns how uncertain it is whether the request fails, from 0 to 1.
+func (c Candidate) doubt() float64 { return 4 * c.FailChance * (1 - c.FailChance) }
+
 // latency returns how long the request is expected to take at the candidate.
 func (c Candidate) latency(r Request) time.Duration {
 	work := float64(r.Work) * c.Slowdown
--- a/pkg/jyretry/budget.go
+++ b/pkg/jyretry/budget.go
@@ -24,10 +24,13 @@
 // burstRequests is the number of requests whose retries may be saved up where there is no slack.
 const burstRequests = 100
 
-// NewBudget returns a budget that starts with one retry, or half of the slack if that is more.
+// NewBudget returns a budget that starts with one retry: many instances that start at once must not all take their slack.
 func NewBudget(c BudgetConfig) *Budget {
 	b := &Budget{config: c, limit: c.limit()}
-	b.tokens = max(min(1, c.Share*burstRequests), c.Slack/2)
+	b.tokens = min(1, b.limit)
+	if c.Share <= 0 && c.Slack <= 0 {
+		b.tokens = 0
+	}
 	return b
 }
 
--- a/pkg/jyretry/policy_test.go
+++ b/pkg/jyretry/policy_test.go
@@ -104,6 +104,22 @@
 	})
 }
 
+func TestInstancesThatStartTogetherDoNotTakeTheSlackAtOnce(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	retries := 0
+	for range 15 {
+		// No instance knows another yet, so that none knows its part of the slack.
+		b := jyretry.NewBudget(jyretry.BudgetConfig{Share: 0.2, Window: 10 * time.Second})
+		b.SetSlack(58.0 / 15)
+		for range 100 {
+			if b.Take(now) {
+				retries++
+			}
+		}
+	}
+	assert.LessOrEqual(t, retries, 15)
+}
+
 func TestBackoffGrowsToItsBound(t *testing.T) {
 	assert.Equal(t, jyretry.FirstBackoff, jyretry.Backoff(1))
 	assert.Equal(t, 2*jyretry.FirstBackoff, jyretry.Backoff(2))
