Stop a request that ends the servers that run it, on the platform path too

Cause: nothing blocked such requests there. A lost connection alone says little where servers lose answers, so the server is looked at shortly after: only one that is down counts, and two block the request at all instances.

--- a/internal/jynode/node.go
+++ b/internal/jynode/node.go
@@ -61,11 +61,11 @@
 	directory *jybackend.Directory
 	source    source
 	fleet     *jyfleet.Fleet
+	block     *jyrelay.Block
 	// What follows is nil where the instance follows the platform's store.
 	release  *jyrelease.Release
 	ledger   *jyledger.Ledger
 	relay    *jyrelay.Relay
-	block    *jyrelay.Block
 	evidence *jyevidence.Evidence
 	proxy    *jyproxy.Proxy
 	metrics  *jymetric.Metrics
@@ -100,7 +100,7 @@
 	if n.followsStore() {
 		n.makeDiscovery()
 		n.makeFleet(clients, func(string, jypeer.Mark) {})
-		n.makeStoreProxy()
+		n.makeStoreProxy(clients)
 		if err := n.makeSignals(); err != nil {
 			return nil, err
 		}
@@ -160,8 +160,7 @@
 		Directory: n.directory, Clients: clients, Fleet: n.fleet, Interval: s.ReportInterval, Timeout: s.PeerTimeout,
 	})
 	n.relay = jyrelay.New(jyrelay.Config{Clients: clients, Fleet: n.fleet, Ledger: n.ledger, Timeout: s.PeerTimeout})
-	others := func() []jymember.Member { return n.fleet.Others(maxFleet) }
-	n.block = jyrelay.NewBlock(clients, others, s.PeerTimeout)
+	n.block = n.newBlock(clients)
 	n.proxy = jyproxy.New(jyproxy.Config{
 		Directory: n.directory,
 		Forwarder: jyproxy.NewForwarder(jyproxy.ForwarderConfig{
@@ -202,6 +201,12 @@
 	return jyproxy.NewLimits(jylimit.Config{Rate: s.CallerRate, Burst: s.CallerBurst, Concurrency: s.CallerConcurrency, MaxCallers: maxCallers})
 }
 
+// newBlock returns the list of blocked requests, which all instances share.
+func (n *Node) newBlock(clients *jypeer.Clients) *jyrelay.Block {
+	others := func() []jymember.Member { return n.fleet.Others(maxFleet) }
+	return jyrelay.NewBlock(clients, others, n.settings.PeerTimeout)
+}
+
 // maxFleet bounds the instances that are told of a blocked request.
 const maxFleet = 1024
 
--- a/internal/jynode/source.go
+++ b/internal/jynode/source.go
@@ -7,7 +7,6 @@
 	"github.com/jackdawyard/jackdawyard/internal/jyproxy"
 	"github.com/jackdawyard/jackdawyard/internal/jyrelease"
 	"github.com/jackdawyard/jackdawyard/internal/jysettings"
-	"github.com/jackdawyard/jackdawyard/pkg/jyblock"
 	"github.com/jackdawyard/jackdawyard/pkg/jynote"
 	"github.com/jackdawyard/jackdawyard/pkg/jyregistry"
 	jyhost "github.com/jackdawyard/jackdawyard/platform"
@@ -54,12 +53,13 @@
 	}
 }
 
-func (n *Node) makeStoreProxy() {
+func (n *Node) makeStoreProxy(clients *jypeer.Clients) {
+	n.block = n.newBlock(clients)
 	n.proxy = jyproxy.New(jyproxy.Config{
 		Directory: n.directory,
 		Forwarder: jyproxy.NewForwarder(jyproxy.ForwarderConfig{
 			IdleProofOfLife: n.settings.IdleProofOfLife, SilentConnectionLag: n.settings.SilentConnectionLag,
-			OnEvidence: func(jynote.ServiceName) {}, Block: noBlock{},
+			OnEvidence: func(jynote.ServiceName) {}, Block: confirmedBlock{Block: n.block, node: n},
 		}),
 		Recorder:       n.burn,
 		Limits:         n.limits(),
@@ -69,18 +69,3 @@
 		Dialect:        jyhost.Dialect(),
 	})
 }
-
-// noBlock blocks nothing.
-type noBlock struct{}
-
-// IsEmpty reports that nothing is under suspicion.
-func (noBlock) IsEmpty() bool { return true }
-
-// IsBlocked reports that the request may run.
-func (noBlock) IsBlocked(jyblock.Fingerprint) bool { return false }
-
-// Completed does nothing.
-func (noBlock) Completed(jyblock.Fingerprint) {}
-
-// Crashed does nothing.
-func (noBlock) Crashed(jyblock.Fingerprint, jyblock.ServerName, bool) {}
--- a/scenario/platform_test.go
+++ b/scenario/platform_test.go
@@ -294,3 +294,26 @@
 		})
 	}
 }
+
+func TestARequestThatEndsServersIsStopped(t *testing.T) {
+	var servers []*jyhoststandin.Server
+	for i := range 5 {
+		servers = append(servers, jyhoststandin.NewServer(fmt.Sprintf("i-%d", i), "s1"))
+		servers[i].SetFault(jyhoststandin.Crash)
+	}
+	h := startHosted(t, servers...)
+	const deadly = "/safe/deadly"
+	h.ask(http.MethodGet, deadly)
+	// The fleet looks at the servers before it blames the request; a caller that sends again at once may end one more.
+	time.Sleep(time.Second)
+	h.eventually(func() bool { return h.ask(http.MethodGet, deadly).body == "RequestBlocked\n" })
+	ended := 0
+	for _, s := range servers {
+		ended += len(s.Runs())
+		s.SetFault(jyhoststandin.None)
+	}
+	assert.LessOrEqual(t, ended, 3)
+	a := h.ask(http.MethodGet, "/safe/other")
+	require.NoError(t, a.err)
+	assert.Equal(t, "answer to "+a.id, a.body, "others are served")
+}
