--- /dev/null
+++ b/internal/jybackend/choose_bench_test.go
@@ -0,0 +1,44 @@
+package jybackend_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jackdawyard/jackdawyard/internal/jybackend"
+	"github.com/jackdawyard/jackdawyard/pkg/jynote"
+)
+
+// BenchmarkChooseByLoss shows what a choice costs, by the number of a service's servers.
+func BenchmarkChooseByLoss(b *testing.B) {
+	for _, servers := range []int{8, 16, 64, 186} {
+		b.Run(fmt.Sprint(servers), func(b *testing.B) {
+			service := byLoss(servers)
+			b.ReportAllocs()
+			for b.Loop() {
+				p, err := service.Choose(time.Now(), jybackend.Need{Objective: time.Second})
+				if err != nil {
+					b.Fatal(err)
+				}
+				p.Server.Release()
+			}
+		})
+	}
+}
+
+// byLoss returns a service whose servers are chosen by expected loss.
+func byLoss(servers int) *jybackend.Service {
+	d := jybackend.NewDirectory(jybackend.Config{
+		ConnectTimeout: time.Second, MaxIdle: time.Minute, RetryBudgetShare: 0.2, ByLoss: true, DataCentre: "dc-0", Instance: "entry-1",
+		Instances: func() int { return 15 }, IsNear: func(jynote.DataCentreName) bool { return true },
+	})
+	state := jynote.State{Number: 1, Services: []jynote.Service{{Name: "s"}}}
+	for i := range servers {
+		state.BackendServers = append(state.BackendServers, jynote.BackendServer{
+			Name: jynote.ServerName(fmt.Sprintf("b-%03d", i)), Service: "s", Address: "127.0.0.1:1",
+			DataCentre: jynote.DataCentreName(fmt.Sprintf("dc-%d", i%3)), Slots: 4, Connections: 300,
+		})
+	}
+	d.Apply(state)
+	return d.Snapshot().Service("s")
+}
--- /dev/null
+++ b/internal/jybackend/export_test.go
@@ -0,0 +1,24 @@
+package jybackend
+
+import (
+	"time"
+
+	"github.com/jackdawyard/jackdawyard/pkg/jybelief"
+)
+
+// FailChance returns what is believed of the server now.
+func (s *Server) FailChance(now time.Time) float64 {
+	chance, _, _ := s.health.outlook(now)
+	return chance
+}
+
+// Hear takes a report of another instance about the server.
+func (v *Service) Hear(s *Server, h Heard) {
+	s.hear(time.Now(), Reporter{Name: "peer", Boot: 1, Sequence: 1}, h)
+}
+
+// FailedEarly is one early failure.
+func FailedEarly() (c jybelief.Counts) {
+	c[jybelief.FailedEarly] = 1
+	return c
+}
--- /dev/null
+++ b/internal/jybackend/loss_test.go
@@ -0,0 +1,63 @@
+package jybackend_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/jackdawyard/jackdawyard/internal/jybackend"
+)
+
+const usualLatency = 300 * time.Millisecond
+
+// use sends requests one after the other and returns how many each server got; result says how one at the server ends.
+func use(t *testing.T, v *jybackend.Service, requests int, result func(*jybackend.Server) (jybackend.Result, time.Duration)) map[string]int {
+	got := map[string]int{}
+	for range requests {
+		p, err := v.Choose(time.Now(), jybackend.Need{Objective: time.Second})
+		require.NoError(t, err)
+		got[string(p.Server.Info.Name)]++
+		r, latency := result(p.Server)
+		p.Server.Release()
+		v.Record(p, r, latency, false)
+	}
+	return got
+}
+
+func answered(*jybackend.Server) (jybackend.Result, time.Duration) {
+	return jybackend.Answered, usualLatency
+}
+
+func TestAServerThatFailsIsLeftAfterOneRequest(t *testing.T) {
+	v := byLoss(6)
+	use(t, v, 60, answered)
+	gray := v.Servers[0].Info.Name
+	got := use(t, v, 200, func(s *jybackend.Server) (jybackend.Result, time.Duration) {
+		if s.Info.Name == gray {
+			return jybackend.Failed, time.Millisecond
+		}
+		return jybackend.Answered, usualLatency
+	})
+	assert.LessOrEqual(t, got[string(gray)], 2)
+}
+
+func TestWhatAPeerSawCountsAsIfSeenHere(t *testing.T) {
+	v := byLoss(3)
+	use(t, v, 60, answered)
+	gray := v.Servers[0]
+	before := gray.FailChance(time.Now())
+	v.Hear(gray, jybackend.Heard{Outcomes: jybackend.FailedEarly()})
+	assert.Greater(t, gray.FailChance(time.Now()), 0.3)
+	assert.Greater(t, gray.FailChance(time.Now()), before)
+}
+
+func TestLoadOfPeersKeepsRequestsAway(t *testing.T) {
+	v := byLoss(2)
+	use(t, v, 60, answered)
+	busy := v.Servers[0]
+	v.Hear(busy, jybackend.Heard{InFlight: 12})
+	got := use(t, v, 50, answered)
+	assert.Zero(t, got[string(busy.Info.Name)])
+}
--- a/internal/jybackend/service.go
+++ b/internal/jybackend/service.go
@@ -213,6 +213,11 @@
 		v.view.Store(&seats)
 		return
 	}
+	if v.byLoss {
+		v.shareConnections(seats)
+		v.view.Store(&seats)
+		return
+	}
 	plan := v.plan(len(seats), v.fewestConnections())
 	v.most.Store(int32(plan.Connections))
 	full := 0
@@ -230,6 +235,14 @@
 	v.view.Store(&part)
 }
 
+// shareConnections lets this instance use all servers, with its part of the connections of each.
+func (v *Service) shareConnections(seats []seat) {
+	for _, s := range seats {
+		plan := v.plan(1, s.server.Info.Connections)
+		s.server.Pool.SetMost(plan.Connections)
+	}
+}
+
 func (v *Service) fewestConnections() int {
 	fewest := v.Servers[0].Info.Connections
 	for _, s := range v.Servers {
--- a/internal/jyproxy/proxy.go
+++ b/internal/jyproxy/proxy.go
@@ -118,6 +118,7 @@
 // route finds the service of the request.
 func (p *Proxy) route(r *request, path string) *jyoutcome.Refusal {
 	snapshot := p.config.Directory.Snapshot()
+	r.state = snapshot.State
 	if snapshot.State.Number == 0 {
 		return &jyoutcome.Refusal{
 			Outcome: jyoutcome.NotRun, Reason: jyoutcome.NoReleaseNote, Status: http.StatusServiceUnavailable,
@@ -131,7 +132,7 @@
 			Detail: "No route fits this method and path.",
 		}
 	}
-	r.match, r.state = match, snapshot.State
+	r.match = match
 	r.service = snapshot.Service(match.Service.Name)
 	r.deadline = r.arrived.Add(timeoutOf(match))
 	return nil
