--- a/internal/jybackend/coverage.go
+++ b/internal/jybackend/coverage.go
@@ -13,8 +13,8 @@
 var coverageConfig = jyplace.CoverageConfig{
 	FailShare:   0.085,
 	MinFailures: 4,
-	Calm:        jyplace.Cover{Share: 0.7, Lately: 1600 * time.Millisecond, MaxFailChance: 0.4},
-	Trouble:     jyplace.Cover{Share: 0.8, Lately: 1200 * time.Millisecond, MaxFailChance: 1},
+	Calm:        jyplace.Cover{Share: 0.8, Lately: 1600 * time.Millisecond, MaxFailChance: 0.4},
+	Trouble:     jyplace.Cover{Share: 1, Lately: 1200 * time.Millisecond, MaxFailChance: 1},
 	Memory:      1500 * time.Millisecond,
 }
 
--- a/internal/jybackend/loss.go
+++ b/internal/jybackend/loss.go
@@ -16,7 +16,8 @@
 var grayModel = jybelief.Config{
 	Onset:    0.05,
 	Recovery: 0.12,
-	Well:     jybelief.Likelihood{jybelief.Answered: 0.976, jybelief.FailedEarly: 0.002, jybelief.FailedLate: 0.012, jybelief.Silent: 0.01},
+	Least:    0.001,
+	Well:     jybelief.Likelihood{jybelief.Answered: 0.976, jybelief.FailedEarly: 0.0005, jybelief.FailedLate: 0.012, jybelief.Silent: 0.01},
 	Gray:     jybelief.Likelihood{jybelief.Answered: 0.15, jybelief.FailedEarly: 0.55, jybelief.FailedLate: 0.2, jybelief.Silent: 0.1},
 }
 
@@ -27,6 +28,9 @@
 	coldSlowdown = 2
 	// queueFactor bounds the requests of this instance at one server, as a multiple of its slots.
 	queueFactor = 3
+	// fullTime is how long a server that shed a request is taken to be full, and shedChance how likely it sheds others.
+	fullTime   = 200 * time.Millisecond
+	shedChance = 0.5
 	// unknownWork is the part of the objective that work is taken for where no answer has come yet.
 	unknownWork = 4
 )
@@ -123,6 +127,11 @@
 	}
 }
 
+// MarkFull records that the server shed a request.
+func (s *Server) MarkFull(now time.Time) { s.full.Store(now.Add(fullTime).UnixNano()) }
+
+func (s *Server) isFull(now time.Time) bool { return now.UnixNano() < s.full.Load() }
+
 // SetColdUntil records until when the server is slow after its start.
 func (s *Server) SetColdUntil(t time.Time) {
 	s.health.mu.Lock()
@@ -160,9 +169,13 @@
 		return c
 	}
 	c.FailChance, c.Slowdown, c.IsNew = s.health.outlook(now)
+	c.IsNew = c.IsNew && s.used.Load() == 0
 	if s.isPassedOver(now) {
 		c.FailChance = 1
 	}
+	if s.isFull(now) {
+		c.FailChance = max(c.FailChance, shedChance)
+	}
 	if !v.isNearby(s) {
 		c.Distance = remoteDistance
 		c.IsNew = false
--- a/internal/jybackend/server.go
+++ b/internal/jybackend/server.go
@@ -24,6 +24,7 @@
 	lost     atomic.Int32 // connections lost in a row
 	passOver atomic.Int64 // until when others are preferred, in nanoseconds since the epoch
 	health   health
+	full     atomic.Int64 // until when it is taken to be full, in nanoseconds since the epoch
 	used     atomic.Int64 // when a request was last sent to it, in nanoseconds since the epoch
 	hearsay  hearsay
 }
--- a/internal/jycommand/explain.go
+++ b/internal/jycommand/explain.go
@@ -10,7 +10,7 @@
 	"github.com/jackdawyard/jackdawyard/internal/jyexplain"
 )
 
-var errNoRequest = errors.New("usage: explain REQUEST-ID FILE...")
+var errNoRequest = errors.New("explain needs a request id and at least one log file")
 
 func explainCommand() *cli.Command {
 	return &cli.Command{
--- a/internal/jyproxy/attempt.go
+++ b/internal/jyproxy/attempt.go
@@ -145,6 +145,7 @@
 	a.server.Pool.Put(x.connection, time.Now())
 	service := a.request.match.Service
 	if matchesAny(service.NotRunMarks, resp) {
+		a.server.MarkFull(time.Now())
 		a.end(jybackend.Neutral)
 		return nil, &jyretry.Failure{CertainlyNotRun: true, Reason: jyoutcome.DeclaredNotRun}
 	}
--- a/pkg/jybelief/belief.go
+++ b/pkg/jybelief/belief.go
@@ -14,6 +14,8 @@
 	Onset Rate
 	// Recovery is the rate at which a gray server recovers.
 	Recovery Rate
+	// Least is the chance below which no number of answers brings the belief: a server can always have just turned gray.
+	Least float64
 	// Well and Gray are the chances of the outcomes in each state.
 	Well Likelihood
 	Gray Likelihood
@@ -60,5 +62,5 @@
 	if b.at.After(now) {
 		now = b.at
 	}
-	return Belief{gray: joint / (joint + (1-gray)*c.Well[o]), at: now}
+	return Belief{gray: max(c.Least, joint/(joint+(1-gray)*c.Well[o])), at: now}
 }
--- a/pkg/jybelief/belief_test.go
+++ b/pkg/jybelief/belief_test.go
@@ -14,7 +14,7 @@
 var model = jybelief.Config{
 	Onset:    0.05,
 	Recovery: 0.12,
-	Well:     jybelief.Likelihood{jybelief.Answered: 0.976, jybelief.FailedEarly: 0.002, jybelief.FailedLate: 0.012, jybelief.Silent: 0.01},
+	Well:     jybelief.Likelihood{jybelief.Answered: 0.976, jybelief.FailedEarly: 0.0005, jybelief.FailedLate: 0.012, jybelief.Silent: 0.01},
 	Gray:     jybelief.Likelihood{jybelief.Answered: 0.15, jybelief.FailedEarly: 0.55, jybelief.FailedLate: 0.2, jybelief.Silent: 0.1},
 }
 
--- a/scenario/fleet_test.go
+++ b/scenario/fleet_test.go
@@ -125,7 +125,7 @@
 	log, err := os.OpenFile(filepath.Join(f.folder, e.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	require.NoError(f.t, err)
 	e.process = exec.Command(program, "serve", "--settings", e.file)
-	e.process.Stderr = log
+	e.process.Stdout, e.process.Stderr = log, log
 	require.NoError(f.t, e.process.Start())
 	e.ended = make(chan struct{})
 	go func(p *exec.Cmd, ended chan struct{}) {
