--- /dev/null
+++ b/internal/jybackend/health.go
@@ -0,0 +1,86 @@
+package jybackend
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"github.com/jackdawyard/jackdawyard/internal/jylog"
+	"github.com/jackdawyard/jackdawyard/pkg/jybelief"
+)
+
+// grayModel is how backend servers turn gray: for seconds at a time.
+var grayModel = jybelief.Config{
+	Onset:    0.05,
+	Recovery: 0.12,
+	Least:    0.001,
+	Well:     jybelief.Likelihood{jybelief.Answered: 0.976, jybelief.FailedEarly: 0.0005, jybelief.FailedLate: 0.012, jybelief.Silent: 0.01},
+	Gray:     jybelief.Likelihood{jybelief.Answered: 0.15, jybelief.FailedEarly: 0.55, jybelief.FailedLate: 0.2, jybelief.Silent: 0.1},
+}
+
+const (
+	// doubted is the chance of being gray from which on a server is shown as doubted.
+	doubted = 0.5
+	// beliefLines bounds the log lines a second about changes of belief.
+	beliefLines = 20
+	// own is the source of what this instance saw itself.
+	own = "own"
+	// coldSlowdown is how much longer a server works that has just started.
+	coldSlowdown = 2
+	// fullTime is how long a server that shed a request is taken to be full, and shedChance how likely it sheds others.
+	fullTime   = 200 * time.Millisecond
+	shedChance = 0.5
+)
+
+// health is what is believed of one server at this moment.
+type health struct {
+	mu        sync.Mutex
+	belief    jybelief.Belief
+	coldUntil time.Time
+}
+
+// observe takes an outcome and returns the chance of being gray before and after it.
+func (h *health) observe(now time.Time, o jybelief.Outcome) (before, after float64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	before = grayModel.GrayChance(h.belief, now)
+	h.belief = grayModel.Observe(h.belief, now, o)
+	return before, grayModel.GrayChance(h.belief, now)
+}
+
+// Rounded returns a chance in thousandths, for the log.
+func Rounded(chance float64) float64 { return math.Round(chance*1000) / 1000 }
+
+// observe takes an outcome, seen here or by the instance named as source, and logs where it changes what is believed.
+func (s *Server) observe(now time.Time, o jybelief.Outcome, source string) {
+	before, after := s.health.observe(now, o)
+	switch {
+	case before < doubted && after >= doubted:
+		jylog.ServerDoubted.LogAtMost(beliefLines, s.Info.Service, s.Info.Name, Rounded(after), o, source)
+	case before >= doubted && after < doubted:
+		jylog.ServerTrusted.LogAtMost(beliefLines, s.Info.Service, s.Info.Name, Rounded(after), source)
+	}
+}
+
+// outlook returns the chance that a request fails now, and how much longer than usual it takes.
+func (h *health) outlook(now time.Time) (failChance, slowdown float64, isNew bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	slowdown = 1
+	if now.Before(h.coldUntil) {
+		slowdown = coldSlowdown
+	}
+	return grayModel.FailChance(h.belief, now), slowdown, h.belief.IsNew()
+}
+
+// MarkFull records that the server shed a request.
+func (s *Server) MarkFull(now time.Time) { s.full.Store(now.Add(fullTime).UnixNano()) }
+
+func (s *Server) isFull(now time.Time) bool { return now.UnixNano() < s.full.Load() }
+
+// SetColdUntil records until when the server is slow after its start.
+func (s *Server) SetColdUntil(t time.Time) {
+	s.health.mu.Lock()
+	defer s.health.mu.Unlock()
+	s.health.coldUntil = t
+}
