--- a/internal/jynode/node.go
+++ b/internal/jynode/node.go
@@ -62,17 +62,18 @@
 	source    source
 	fleet     *jyfleet.Fleet
 	block     *jyrelay.Block
-	// What follows is nil where the instance follows the platform's store.
+	proxy     *jyproxy.Proxy
+	metrics   *jymetric.Metrics
+	burn      *jyreport.Burn
+	callers   *callerServer
+	draining  chan struct{}     // closed when the instance begins to leave
+	signals   *jysignal.Signals // nil without a port for signals
+
+	// These are nil where the instance follows the platform's store.
 	release  *jyrelease.Release
 	ledger   *jyledger.Ledger
 	relay    *jyrelay.Relay
 	evidence *jyevidence.Evidence
-	proxy    *jyproxy.Proxy
-	metrics  *jymetric.Metrics
-	burn     *jyreport.Burn
-	signals  *jysignal.Signals // nil without a port for signals
-	callers  *callerServer
-	draining chan struct{} // closed when the instance begins to leave
 }
 
 // New puts an instance together and opens its addresses.
