--- a/internal/jybackend/loss.go
+++ b/internal/jybackend/loss.go
@@ -10,7 +10,7 @@
 
 const (
 	// remoteDistance is what a request to another data centre costs, as a share of its worth.
-	remoteDistance = 0.025
+	remoteDistance = 0.05
 	// queueFactor bounds the requests of this instance at one server, as a multiple of its slots.
 	queueFactor = 3
 	// unknownWork is the part of the objective that work is taken for where no answer has come yet.
