Log to standard output in serve alone

Cause: demo and the other commands print their results there, and lines of the log stood between them. Their log goes to standard error again.

--- a/internal/jycommand/main.go
+++ b/internal/jycommand/main.go
@@ -27,17 +27,19 @@
 func Main(args []string) int {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	out := jylog.NewWriter(os.Stdout)
+	out, diagnostics := jylog.NewWriter(os.Stdout), jylog.NewWriter(os.Stderr)
 	defer out.Close()
+	defer diagnostics.Close()
 	defer klog.Flush()
-	if err := root(out).Run(ctx, args); err != nil {
+	if err := root(out, diagnostics).Run(ctx, args); err != nil {
 		fmt.Fprintln(os.Stderr, "jackdawyard:", err)
 		return exitFailed
 	}
 	return 0
 }
 
-func root(log io.Writer) *cli.Command {
+// root returns the program; serve logs to out, and the other commands, whose results go there, to diagnostics.
+func root(out, diagnostics io.Writer) *cli.Command {
 	return &cli.Command{
 		Name:    "jackdawyard",
 		Usage:   "a proxy fleet for backend servers that fail partially and quietly",
@@ -46,7 +48,10 @@
 			&cli.BoolFlag{Name: "quiet", Usage: "log alarms only"},
 		},
 		Before: func(ctx context.Context, c *cli.Command) (context.Context, error) {
-			return ctx, setUpLog(log, c.Bool("quiet"))
+			if c.Args().First() == serveName {
+				return ctx, setUpLog(out, c.Bool("quiet"))
+			}
+			return ctx, setUpLog(diagnostics, c.Bool("quiet"))
 		},
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 		Commands: []*cli.Command{
--- a/internal/jycommand/serve.go
+++ b/internal/jycommand/serve.go
@@ -14,12 +14,14 @@
 	"github.com/jackdawyard/jackdawyard/internal/jysettings"
 )
 
+const serveName = "serve"
+
 // settingsVariable names the settings file where no flag does.
 const settingsVariable = "JACKDAWYARD_CONFIG"
 
 func serveCommand() *cli.Command {
 	return &cli.Command{
-		Name:  "serve",
+		Name:  serveName,
 		Usage: "run one entry instance until SIGTERM, then shut down gracefully",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "settings", Usage: "INI settings `FILE`", Required: true, Sources: cli.EnvVars(settingsVariable)},
