Keep the platform's words in its folder, and drop state that can be derived

The stand-in of the platform now speaks its dialect for the tests too: it publishes configurations, registers and drains servers, sends requests and decodes what servers saw, so that the scenarios hold no word of the platform's. An attempt's server is that of its placement; the belief of a server is read and written by its own methods, in place of its lock taken in three files; the count of requests near and far shares one way; unused parts of the stand-in and of the signals are gone. No change of behaviour, and no check is loosened: the remaining time is compared as a time in place of its digits. Left as it is: the callers' bounds on header and idle time are decoded and not applied yet.

--- a/internal/jybackend/coverage.go
+++ b/internal/jybackend/coverage.go
@@ -26,19 +26,13 @@
 	nearby Finished
 }
 
-// Finished counts requests by what became of them.
-type Finished struct {
-	Served   uint32
-	Unserved uint32
-}
-
 func newCoverage() *coverage { return &coverage{decide: jyplace.NewCoverage(coverageConfig)} }
 
 // observe takes requests that ended in this data centre.
 func (c *coverage) observe(now time.Time, f Finished) {
+	c.observeFar(now, f)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.decide.Observe(now, f.Served, f.Unserved)
 	c.nearby.Served += f.Served
 	c.nearby.Unserved += f.Unserved
 }
--- a/internal/jybackend/health.go
+++ b/internal/jybackend/health.go
@@ -48,6 +48,36 @@
 	return before, grayModel.GrayChance(h.belief, now)
 }
 
+// adopt takes what others believe, unless an outcome was observed here just now.
+func (h *health) adopt(now time.Time, gray float64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.belief.IsNew() || h.belief.Age(now) > freshOutcome {
+		h.belief = jybelief.At(now, gray)
+	}
+}
+
+// gray returns the chance of being gray.
+func (h *health) gray(now time.Time) float64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return grayModel.GrayChance(h.belief, now)
+}
+
+// isNew reports whether nothing was ever observed or heard.
+func (h *health) isNew() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.belief.IsNew()
+}
+
+// setColdUntil records until when the server is slow after its start.
+func (h *health) setColdUntil(t time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.coldUntil = t
+}
+
 // Rounded returns a chance in thousandths, for the log.
 func Rounded(chance float64) float64 { return math.Round(chance*1000) / 1000 }
 
@@ -79,8 +109,4 @@
 func (s *Server) isFull(now time.Time) bool { return now.UnixNano() < s.full.Load() }
 
 // SetColdUntil records until when the server is slow after its start.
-func (s *Server) SetColdUntil(t time.Time) {
-	s.health.mu.Lock()
-	defer s.health.mu.Unlock()
-	s.health.coldUntil = t
-}
+func (s *Server) SetColdUntil(t time.Time) { s.health.setColdUntil(t) }
--- a/internal/jybackend/hearsay.go
+++ b/internal/jybackend/hearsay.go
@@ -7,8 +7,14 @@
 	"github.com/jackdawyard/jackdawyard/pkg/jybelief"
 )
 
-// loadMemory is how long the load that another instance told of is counted without news.
-const loadMemory = 3 * time.Second
+const (
+	// loadMemory is how long the load that another instance told of is counted without news.
+	loadMemory = 3 * time.Second
+	// viewMemory is how long the load in a view counts.
+	viewMemory = 2 * time.Second
+	// freshOutcome is how old an outcome that was observed here may be to go before the view of another data centre.
+	freshOutcome = 250 * time.Millisecond
+)
 
 // Reporter is the run of an instance that tells of a server, and the number of its report.
 type Reporter struct {
@@ -59,30 +65,16 @@
 	s.hearsay.mu.Lock()
 	s.hearsay.total, s.hearsay.viewed = load, now
 	s.hearsay.mu.Unlock()
-	s.health.mu.Lock()
-	defer s.health.mu.Unlock()
-	if s.health.belief.IsNew() || s.health.belief.Age(now) > freshOutcome {
-		s.health.belief = jybelief.At(now, gray)
-	}
+	s.health.adopt(now, gray)
 }
 
-// freshOutcome is how old an outcome that was observed here may be to go before the view of another data centre.
-const freshOutcome = 250 * time.Millisecond
-
 // View returns the load and the chance of being gray, for instances in other data centres.
 func (s *Server) View(now time.Time) (load int, gray float64) {
-	s.health.mu.Lock()
-	gray = grayModel.GrayChance(s.health.belief, now)
-	s.health.mu.Unlock()
-	return s.load(now), gray
+	return s.load(now), s.health.gray(now)
 }
 
 // WasTried reports whether anything was ever observed or heard of the server.
-func (s *Server) WasTried() bool {
-	s.health.mu.Lock()
-	defer s.health.mu.Unlock()
-	return !s.health.belief.IsNew()
-}
+func (s *Server) WasTried() bool { return !s.health.isNew() }
 
 // set keeps the newest report of each instance; datagrams may overtake each other.
 func (h *hearsay) set(now time.Time, from Reporter, inFlight int) {
@@ -122,6 +114,3 @@
 	}
 	return h.total
 }
-
-// viewMemory is how long the load in a view counts.
-const viewMemory = 2 * time.Second
--- a/internal/jybackend/outcome.go
+++ b/internal/jybackend/outcome.go
@@ -15,12 +15,11 @@
 
 // outcomeOf returns what the result of an attempt tells of the server, if anything.
 func (v *Service) outcomeOf(r Result, latency time.Duration) (jybelief.Outcome, bool) {
-	work := v.latency.workValue(0)
 	switch r {
 	case Answered:
 		return jybelief.Answered, true
 	case Failed:
-		if float64(latency) < earlyShare*float64(work) {
+		if float64(latency) < earlyShare*float64(v.Work()) {
 			return jybelief.FailedEarly, true
 		}
 		return jybelief.FailedLate, true
@@ -39,7 +38,7 @@
 		return 0
 	}
 	ahead := max(0, p.Load+1-p.Server.Info.Slots)
-	wait := v.latency.workValue(0) * time.Duration(ahead) / time.Duration(p.Server.Info.Slots)
+	wait := v.Work() * time.Duration(ahead) / time.Duration(p.Server.Info.Slots)
 	return patienceFactor * (usual + wait)
 }
 
--- a/internal/jyproxy/attempt.go
+++ b/internal/jyproxy/attempt.go
@@ -18,7 +18,6 @@
 type attempt struct {
 	forwarder *Forwarder
 	request   *request
-	server    *jybackend.Server
 	placement jybackend.Placement
 	started   time.Time
 	cancel    context.CancelFunc // of the copy that is answered
@@ -27,6 +26,9 @@
 	wasSilent atomic.Bool
 }
 
+// server returns the backend server that was chosen.
+func (a *attempt) server() *jybackend.Server { return a.placement.Server }
+
 // run sends the request and returns the answer, or what became of it; it ends the attempt unless the answer still streams.
 func (a *attempt) run(ctx context.Context) (*answer, *jyretry.Failure) {
 	a.started = time.Now()
@@ -50,7 +52,7 @@
 	if !a.request.match.Idempotent {
 		proofAfter = a.forwarder.proofAfter(a.started)
 	}
-	return a.server.Pool.Get(ctx, a.started, proofAfter)
+	return a.server().Pool.Get(ctx, a.started, proofAfter)
 }
 
 func (a *attempt) notConnected(ctx context.Context, err error) *jyretry.Failure {
@@ -64,7 +66,7 @@
 		f.Reason = reasonOf(ctx)
 		a.end(jybackend.Neutral)
 	default:
-		a.server.ConnectionLost(time.Now())
+		a.server().ConnectionLost(time.Now())
 		a.end(jybackend.Failed)
 	}
 	return f
@@ -87,7 +89,7 @@
 	if ctx.Err() == nil {
 		f.MayCrash = errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || isReset(err)
 		if f.MayCrash {
-			a.server.ConnectionLost(time.Now())
+			a.server().ConnectionLost(time.Now())
 		}
 		a.end(blame(conn, f.MayCrash))
 		return f
@@ -110,7 +112,7 @@
 	}
 	a.overdue = time.AfterFunc(patience, func() {
 		a.wasSilent.Store(true)
-		service.NoteSilence(a.server)
+		service.NoteSilence(a.server())
 		a.request.logSilence(a.placement, time.Since(a.started))
 	})
 }
@@ -128,12 +130,12 @@
 	resp := x.response
 	a.noteMarks(resp)
 	if !a.request.dialect.isWhole(resp) {
-		a.server.Pool.Drop(x.connection)
+		a.server().Pool.Drop(x.connection)
 		return nil, a.lost(ctx, x.connection, errSpoilt)
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedAnswer+1))
 	if err != nil {
-		a.server.Pool.Drop(x.connection)
+		a.server().Pool.Drop(x.connection)
 		return nil, a.lost(ctx, x.connection, err)
 	}
 	out := &answer{status: resp.StatusCode, header: resp.Header, body: body, length: resp.ContentLength}
@@ -142,10 +144,10 @@
 		out.finish = func(complete bool) { a.finishStream(x, complete) }
 		return out, nil
 	}
-	a.server.Pool.Put(x.connection, time.Now())
+	a.server().Pool.Put(x.connection, time.Now())
 	service := a.request.match.Service
 	if matchesAny(service.NotRunMarks, resp) {
-		a.server.MarkFull(time.Now())
+		a.server().MarkFull(time.Now())
 		a.end(jybackend.Neutral)
 		return nil, &jyretry.Failure{CertainlyNotRun: true, Reason: jyoutcome.DeclaredNotRun}
 	}
@@ -155,11 +157,11 @@
 
 func (a *attempt) finishStream(x exchange, complete bool) {
 	if !complete {
-		a.server.Pool.Drop(x.connection)
+		a.server().Pool.Drop(x.connection)
 		a.end(jybackend.Failed)
 		return
 	}
-	a.server.Pool.Put(x.connection, time.Now())
+	a.server().Pool.Put(x.connection, time.Now())
 	a.end(resultOf(a.request.match.Service, x.response))
 }
 
@@ -186,7 +188,7 @@
 }
 
 func (a *attempt) noteMarks(resp *http.Response) {
-	if a.request.match.Service.DrainMark.Matches(resp.StatusCode, resp.Header.Get) && a.server.MarkDraining(time.Now()) {
+	if a.request.match.Service.DrainMark.Matches(resp.StatusCode, resp.Header.Get) && a.server().MarkDraining(time.Now()) {
 		a.forwarder.config.OnEvidence(a.request.match.Service.Name)
 	}
 }
@@ -197,7 +199,7 @@
 	if a.overdue != nil {
 		a.overdue.Stop()
 	}
-	a.server.Release()
+	a.server().Release()
 	if a.request.service.Record(a.placement, r, time.Since(a.started), a.wasSilent.Load()) {
 		a.forwarder.config.OnEvidence(a.request.match.Service.Name)
 	}
--- a/internal/jyproxy/exchange.go
+++ b/internal/jyproxy/exchange.go
@@ -37,17 +37,17 @@
 func (a *attempt) roundTrip(ctx context.Context, conn *jybackend.Connection) (exchange, error) {
 	// A process that was paused must not send what its caller has given up on.
 	now := time.Now()
-	out, err := a.request.outgoing(ctx, a.server.Info, now)
+	out, err := a.request.outgoing(ctx, a.server().Info, now)
 	if err == nil && !now.Before(a.request.deadline) {
 		err = errNotSent
 	}
 	if err != nil {
-		a.server.Pool.Drop(conn)
+		a.server().Pool.Drop(conn)
 		return exchange{}, err
 	}
 	resp, err := conn.RoundTrip(out, func(resp *http.Response) bool { return a.request.dialect.belongsTo(resp, a.request.header) })
 	if err != nil {
-		a.server.Pool.Drop(conn)
+		a.server().Pool.Drop(conn)
 		return exchange{}, err
 	}
 	return exchange{connection: conn, response: resp}, nil
@@ -82,7 +82,7 @@
 	if !h.attempt.request.service.TakeRetry() {
 		return
 	}
-	pool := h.attempt.server.Pool
+	pool := h.attempt.server().Pool
 	conn, err := pool.Open(ctx, time.Now())
 	if err != nil {
 		return
@@ -122,9 +122,9 @@
 		return exchange{}, err
 	}
 	if err == nil {
-		h.attempt.server.Pool.Drop(x.connection)
+		h.attempt.server().Pool.Drop(x.connection)
 	}
-	jylog.ConnectionQuiet.Log(h.attempt.server.Info.Name)
+	jylog.ConnectionQuiet.Log(h.attempt.server().Info.Name)
 	h.attempt.forwarder.quietAt.Store(time.Now().UnixNano())
 	h.attempt.cancel = h.cancel
 	return h.result, nil
--- a/internal/jyproxy/forwarder.go
+++ b/internal/jyproxy/forwarder.go
@@ -45,7 +45,7 @@
 func (f *Forwarder) forward(ctx context.Context, r *request) (*answer, *jyoutcome.Refusal) {
 	out, refusal := f.try(ctx, r)
 	if f.isUnserved(r, out, refusal) {
-		r.service.NoteUnserved(r.lastServer())
+		r.service.NoteUnserved(r.last.Server)
 	}
 	return out, refusal
 }
@@ -82,7 +82,7 @@
 		server := placement.Server
 		r.last = placement
 		r.tried = append(r.tried, server)
-		a := &attempt{forwarder: f, request: r, server: server, placement: placement}
+		a := &attempt{forwarder: f, request: r, placement: placement}
 		out, failure := a.run(ctx)
 		if a.wasSent {
 			r.attempts++
--- a/internal/jyproxy/request.go
+++ b/internal/jyproxy/request.go
@@ -60,11 +60,6 @@
 	return r.match.Idempotent && r.replayable() && r.attempts+1 < r.maxAttempts() && r.service.HasAmpleRetries()
 }
 
-// lastServer returns the backend server that was tried last, or nil.
-func (r *request) lastServer() *jybackend.Server {
-	return r.last.Server
-}
-
 // objective returns the latency that the caller is promised.
 func (r *request) objective() time.Duration {
 	return time.Duration(cmp.Or(r.match.Route.ObjectiveMilliseconds, r.match.Service.Objective.LatencyMilliseconds)) * time.Millisecond
--- a/internal/jysignal/signals.go
+++ b/internal/jysignal/signals.go
@@ -44,7 +44,6 @@
 	config  Config
 	self    jymember.Member
 	conn    *net.UDPConn
-	port    uint16
 	pending *pending
 	peers   *peers
 	seen    map[string]*window // by sender; used by the receiving goroutine alone
@@ -65,7 +64,7 @@
 		return nil, jyfault.New(op, NoAddress, "%w", err)
 	}
 	return &Signals{
-		config: c, self: c.Fleet.Self(), conn: conn, port: address.Port(), pending: newPending(),
+		config: c, self: c.Fleet.Self(), conn: conn, pending: newPending(),
 		peers: &peers{fleet: c.Fleet, port: address.Port()}, seen: map[string]*window{}, told: map[uint64]view{},
 	}, nil
 }
--- a/scenario/platform_test.go
+++ b/scenario/platform_test.go
@@ -1,9 +1,7 @@
 package scenario_test
 
 import (
-	"context"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -27,7 +25,7 @@
 type hosted struct {
 	t       *testing.T
 	store   *jyhoststandin.Store
-	caller  string
+	caller  jyhoststandin.Caller
 	ready   string
 	process *exec.Cmd
 	log     string // the file with its log
@@ -35,24 +33,14 @@
 	count   int
 }
 
-func hostedConfiguration(version int, service string) []byte {
-	return fmt.Appendf(nil, `{"Version":%d,"Resources":[
-{"ResourceKind":"Routes","Metadata":{"Name":"safe"},"Specification":{"Host":"a.example","PathPrefix":"/safe/","Kind":"safe","Timeout":"1000ms","LatencyGoal":"500ms","Priority":2,"Service":"%s","MaxAttempts":2}},
-{"ResourceKind":"Routes","Metadata":{"Name":"unsafe"},"Specification":{"Host":"a.example","PathPrefix":"/unsafe/","Kind":"unsafe","Timeout":"1000ms","LatencyGoal":"500ms","Priority":1,"Service":"%s","MaxAttempts":2}},
-{"ResourceKind":"Services","Metadata":{"Name":"s1"},"Specification":{"HealthPath":"/health","MaxConnections":300}},
-{"ResourceKind":"Services","Metadata":{"Name":"s2"},"Specification":{"HealthPath":"/health","MaxConnections":300}},
-{"ResourceKind":"Limits","Metadata":{},"Specification":{"MaxHeaderBytes":16384,"MaxBodyBytes":100000,"HeaderTimeout":"3000ms","IdleTimeout":"15000ms"}}]}`,
-		version, service, service)
-}
-
 // startHosted starts an instance before the servers, and waits until it is ready.
 func startHosted(t *testing.T, servers ...*jyhoststandin.Server) *hosted {
 	h := &hosted{t: t, store: jyhoststandin.NewStore(), ended: make(chan struct{})}
 	for _, s := range servers {
 		t.Cleanup(s.Close)
-		h.store.Put(s.Key(), s.Entry("ready", 1))
+		s.Register(h.store)
 	}
-	h.store.Put("op/config", hostedConfiguration(3, "s1"))
+	h.store.PublishConfiguration(3, "s1")
 	front := httptest.NewServer(h.store)
 	t.Cleanup(front.CloseClientConnections)
 	var address [3]string
@@ -61,7 +49,8 @@
 		require.NoError(t, err)
 		address[i] = free
 	}
-	h.caller, h.ready = address[0], address[2]
+	h.caller = jyhoststandin.Caller{Address: address[0], Remaining: 5 * time.Second, Patience: patience}
+	h.ready = address[2]
 	file := filepath.Join(t.TempDir(), "entry.ini")
 	text := fmt.Sprintf("[Instance]\nName = entry-1\nDataCentre = dc-1\nCallerAddress = %s\nPeerAddress = %s\nOperatorAddress = %s\nBalancerNotice = 200ms\n"+
 		"[Platform]\nSource = Store\nConfigurationAddress = %s\n[Peers]\nPlaintextLoopback = true\n[BackendServers]\nPlacing = Loss\nRetryBudgetSlack = 50\nIdleProofOfLife = 5s\n",
@@ -101,54 +90,27 @@
 	return resp.StatusCode == http.StatusOK
 }
 
-type hostedAnswer struct {
-	id     string
-	status int
-	header http.Header
-	body   string
-	err    error
-}
-
 // ask sends a request with an id of its own.
-func (h *hosted) ask(method, path string) hostedAnswer {
+func (h *hosted) ask(method, path string) jyhoststandin.Answer {
 	h.count++
-	return h.askAs(fmt.Sprintf("request-%d", h.count), method, path)
-}
-
-func (h *hosted) askAs(id, method, path string) hostedAnswer {
-	ctx, cancel := context.WithTimeout(context.Background(), patience)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+h.caller+path, strings.NewReader("body"))
-	if err != nil {
-		return hostedAnswer{err: err}
-	}
-	req.Host = "a.example"
-	req.Header.Set("Attempt-Id", id)
-	req.Header.Set("Time-Budget-Ms", "5000")
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return hostedAnswer{id: id, err: err}
-	}
-	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(resp.Body)
-	return hostedAnswer{id: id, status: resp.StatusCode, header: resp.Header, body: string(body), err: err}
+	return h.caller.Ask(fmt.Sprintf("request-%d", h.count), method, path)
 }
 
 func TestAHostedInstancePassesTheServersWholeAnswerOn(t *testing.T) {
 	server := jyhoststandin.NewServer("i-1", "s1")
 	h := startHosted(t, server)
 	a := h.ask(http.MethodPost, "/unsafe/x?y=%2F&z")
-	require.NoError(t, a.err)
-	assert.Equal(t, http.StatusOK, a.status)
-	assert.Equal(t, "answer to "+a.id, a.body)
-	assert.Equal(t, "signature-"+a.id, a.header.Get("Response-Signature"))
-	seen := server.Headers()[0]
-	assert.Equal(t, "i-1", seen.Get("Expected-Instance"))
-	assert.Equal(t, a.id, seen.Get("Attempt-Id"))
-	assert.NotEmpty(t, seen.Get("Time-Budget-Ms"))
-	assert.Less(t, len(seen.Get("Time-Budget-Ms")), 4, "the route's timeout is shorter than the caller's time")
-	assert.Equal(t, http.StatusNotFound, h.ask(http.MethodGet, "/none/x").status)
-	assert.Equal(t, http.StatusNotFound, h.ask(http.MethodGet, "/safe").status)
+	require.NoError(t, a.Err)
+	assert.Equal(t, http.StatusOK, a.Status)
+	assert.Equal(t, "answer to "+a.ID, a.Body)
+	assert.Equal(t, "signature-"+a.ID, a.Signature)
+	seen := server.Requests()[0]
+	assert.Equal(t, "i-1", seen.ExpectedServer)
+	assert.Equal(t, a.ID, seen.ID)
+	assert.Positive(t, seen.Remaining)
+	assert.Less(t, seen.Remaining, time.Second, "the route's timeout is shorter than the caller's time")
+	assert.Equal(t, http.StatusNotFound, h.ask(http.MethodGet, "/none/x").Status)
+	assert.Equal(t, http.StatusNotFound, h.ask(http.MethodGet, "/safe").Status)
 }
 
 func TestWhatBecomesOfANonIdempotentRequestAtAFaultyServer(t *testing.T) {
@@ -172,13 +134,13 @@
 		t.Run(string(fault), func(t *testing.T) {
 			server.SetFault(fault)
 			a := h.ask(http.MethodPost, "/unsafe/x")
-			require.NoError(t, a.err)
-			assert.Equal(t, tt.status, a.status)
-			assert.Equal(t, tt.runs, server.Runs()[a.id])
+			require.NoError(t, a.Err)
+			assert.Equal(t, tt.status, a.Status)
+			assert.Equal(t, tt.runs, server.Runs()[a.ID])
 			server.SetFault(jyhoststandin.None)
 			again := h.ask(http.MethodPost, "/unsafe/x")
-			require.NoError(t, again.err)
-			assert.Equal(t, "answer to "+again.id, again.body, "nothing is left of the faulty answer")
+			require.NoError(t, again.Err)
+			assert.Equal(t, "answer to "+again.ID, again.Body, "nothing is left of the faulty answer")
 		})
 	}
 }
@@ -191,8 +153,8 @@
 			bad.SetFault(fault)
 			for range 5 {
 				a := h.ask(http.MethodGet, "/safe/x")
-				require.NoError(t, a.err)
-				assert.Equal(t, "answer to "+a.id, a.body)
+				require.NoError(t, a.Err)
+				assert.Equal(t, "answer to "+a.ID, a.Body)
 			}
 		})
 	}
@@ -201,7 +163,7 @@
 func TestADrainingServerGetsNoNewRequest(t *testing.T) {
 	leaving, staying := jyhoststandin.NewServer("i-1", "s1"), jyhoststandin.NewServer("i-2", "s1")
 	h := startHosted(t, leaving, staying)
-	h.store.Put(leaving.Key(), leaving.Entry("draining", 2))
+	leaving.Drain(h.store)
 	h.eventually(func() bool {
 		before := len(leaving.Runs())
 		for range 10 {
@@ -211,25 +173,25 @@
 	})
 	for range 20 {
 		a := h.ask(http.MethodPost, "/unsafe/x")
-		require.NoError(t, a.err)
-		assert.Zero(t, leaving.Runs()[a.id])
+		require.NoError(t, a.Err)
+		assert.Zero(t, leaving.Runs()[a.ID])
 	}
 }
 
 func TestARouteThatMovedStaysWhereItIs(t *testing.T) {
 	first, second := jyhoststandin.NewServer("i-1", "s1"), jyhoststandin.NewServer("i-2", "s2")
 	h := startHosted(t, first, second)
-	h.store.Put("op/config", hostedConfiguration(9, "s2"))
+	h.store.PublishConfiguration(9, "s2")
 	h.eventually(func() bool {
 		a := h.ask(http.MethodPost, "/unsafe/x")
-		return second.Runs()[a.id] == 1
+		return second.Runs()[a.ID] == 1
 	})
-	h.store.Put("op/config", hostedConfiguration(5, "s1"))
+	h.store.PublishConfiguration(5, "s1")
 	h.store.Compact()
 	for range 20 {
 		a := h.ask(http.MethodPost, "/unsafe/x")
-		require.NoError(t, a.err)
-		assert.Equal(t, 1, second.Runs()[a.id], "an older version never comes into force")
+		require.NoError(t, a.Err)
+		assert.Equal(t, 1, second.Runs()[a.ID], "an older version never comes into force")
 		time.Sleep(pollInterval)
 	}
 }
@@ -239,13 +201,13 @@
 	h := startHosted(t, server)
 	h.store.SetAway(true)
 	for range 10 {
-		assert.Equal(t, http.StatusOK, h.ask(http.MethodPost, "/unsafe/x").status)
+		assert.Equal(t, http.StatusOK, h.ask(http.MethodPost, "/unsafe/x").Status)
 		time.Sleep(pollInterval)
 	}
 	assert.True(t, h.isReady())
 	h.store.SetAway(false)
-	h.store.Put("op/config", hostedConfiguration(9, "s2"))
-	h.eventually(func() bool { return h.ask(http.MethodPost, "/unsafe/x").status == http.StatusServiceUnavailable })
+	h.store.PublishConfiguration(9, "s2")
+	h.eventually(func() bool { return h.ask(http.MethodPost, "/unsafe/x").Status == http.StatusServiceUnavailable })
 }
 
 func TestAHostedInstanceEndsWithoutCuttingRequestsOff(t *testing.T) {
@@ -254,20 +216,20 @@
 	require.NoError(t, h.process.Process.Signal(syscall.SIGHUP), "a signal to read the settings again ends nothing")
 	server.SetDelay(600 * time.Millisecond)
 	var wg sync.WaitGroup
-	answers := make([]hostedAnswer, 8)
+	answers := make([]jyhoststandin.Answer, 8)
 	for i := range answers {
-		wg.Go(func() { answers[i] = h.askAs(fmt.Sprintf("long-%d", i), http.MethodPost, "/unsafe/x") })
+		wg.Go(func() { answers[i] = h.caller.Ask(fmt.Sprintf("long-%d", i), http.MethodPost, "/unsafe/x") })
 	}
 	h.eventually(func() bool { return len(server.Runs()) == len(answers) })
 	require.NoError(t, h.process.Process.Signal(syscall.SIGTERM))
 	h.eventually(func() bool { return !h.isReady() })
 	wg.Wait()
 	for _, a := range answers {
-		require.NoError(t, a.err)
-		assert.Equal(t, "answer to "+a.id, a.body)
+		require.NoError(t, a.Err)
+		assert.Equal(t, "answer to "+a.ID, a.Body)
 	}
 	<-h.ended
-	_, err := net.DialTimeout("tcp", h.caller, time.Second)
+	_, err := net.DialTimeout("tcp", h.caller.Address, time.Second)
 	assert.Error(t, err)
 }
 
@@ -286,9 +248,9 @@
 		t.Run(name, func(t *testing.T) {
 			server.SetFault(tt.fault)
 			a := h.ask(http.MethodPost, "/unsafe/x")
-			require.NoError(t, a.err)
+			require.NoError(t, a.Err)
 			h.eventually(func() bool {
-				told, err := exec.Command(program, "explain", a.id, h.log).CombinedOutput()
+				told, err := exec.Command(program, "explain", a.ID, h.log).CombinedOutput()
 				return err == nil && strings.Contains(string(told), tt.reason) && strings.Contains(string(told), "Server=i-1-")
 			})
 		})
@@ -306,7 +268,7 @@
 	h.ask(http.MethodGet, deadly)
 	// The fleet looks at the servers before it blames the request; a caller that sends again at once may end one more.
 	time.Sleep(time.Second)
-	h.eventually(func() bool { return h.ask(http.MethodGet, deadly).body == "RequestBlocked\n" })
+	h.eventually(func() bool { return h.ask(http.MethodGet, deadly).Body == "RequestBlocked\n" })
 	ended := 0
 	for _, s := range servers {
 		ended += len(s.Runs())
@@ -314,6 +276,6 @@
 	}
 	assert.LessOrEqual(t, ended, 3)
 	a := h.ask(http.MethodGet, "/safe/other")
-	require.NoError(t, a.err)
-	assert.Equal(t, "answer to "+a.id, a.body, "others are served")
+	require.NoError(t, a.Err)
+	assert.Equal(t, "answer to "+a.ID, a.Body, "others are served")
 }
