Let instances that start together meet at once, and tell a new one what its peers believe

Until then no instance heard of failures elsewhere: 40 requests failed at the same six gray servers between 33.4 and 35.5 s. One that restarts alone knows nothing of servers that its peers know to be gray.

Ruled out: the list of peers for signals, read each 0.5 s (read on change now, it was the smaller part).

Change: heartbeats each 100 ms in the first 2 s of a run, each asking for all that is known; 300 instances that start within 0.3 s and know three seeds meet within a second of virtual time (before: 2 s were not enough for 15). A started instance asks its first three peers for their views.

--- a/internal/jyfleet/fleet.go
+++ b/internal/jyfleet/fleet.go
@@ -39,22 +39,21 @@
 	updatesPerCall   = 40
 	// pauseFactor is how many intervals late a tick must be to count as a pause of the process.
 	pauseFactor = 3
-	// askEverything is the number of first heartbeats that ask for all that the peer knows.
-	askEverything = 3
 )
 
 // Fleet sends and answers heartbeats.
 type Fleet struct {
-	config Config
-	mu     sync.Mutex
-	table  *jymember.Table
-	asked  int
-	seeds  []string
+	config  Config
+	pace    jymember.Pace
+	started time.Time
+	mu      sync.Mutex
+	table   *jymember.Table
+	seeds   []string
 }
 
 // New returns a fleet of one.
 func New(c Config) *Fleet {
-	return &Fleet{config: c, seeds: c.Seeds, table: jymember.NewTable(jymember.Config{
+	return &Fleet{config: c, pace: jymember.DefaultPace(c.Interval), started: time.Now(), seeds: c.Seeds, table: jymember.NewTable(jymember.Config{
 		SuspectTime:      suspectIntervals * c.Interval,
 		DeadMemory:       deadMemory,
 		SuccessionMemory: c.Memory,
@@ -65,15 +64,15 @@
 
 // Run sends heartbeats until ctx ends.
 func (f *Fleet) Run(ctx context.Context) error {
-	ticker := time.NewTicker(f.config.Interval)
-	defer ticker.Stop()
 	last := time.Now()
 	f.join(ctx)
 	for {
+		timer := time.NewTimer(f.pace.Next(time.Since(f.started)))
 		select {
 		case <-ctx.Done():
+			timer.Stop()
 			return nil
-		case <-ticker.C:
+		case <-timer.C:
 		}
 		now := time.Now()
 		f.tick(now, now.Sub(last))
@@ -155,12 +154,11 @@
 	mark := f.config.Mark()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.asked++
 	return &jywire.HeartbeatRequest{
 		Sender:          jypeer.MemberToWire(f.table.Self()),
 		Updates:         jypeer.UpdatesToWire(f.table.UpdatesFor(to)),
 		Note:            jypeer.MarkToWire(mark),
-		WantsEverything: f.asked <= askEverything,
+		WantsEverything: f.pace.IsMeeting(time.Since(f.started)),
 	}
 }
 
@@ -241,6 +239,13 @@
 	logEvents(f.table.SyncList(time.Now(), list))
 }
 
+// Changes returns a number that differs once other members work, or work at another address.
+func (f *Fleet) Changes() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.table.Changes()
+}
+
 // Working returns the instances that are alive or suspected, this one included, sorted by name.
 func (f *Fleet) Working() []jymember.Member {
 	f.mu.Lock()
--- /dev/null
+++ b/internal/jysignal/catch_up_test.go
@@ -0,0 +1,83 @@
+package jysignal_test
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/jackdawyard/jackdawyard/internal/jybackend"
+	"github.com/jackdawyard/jackdawyard/internal/jysignal"
+	"github.com/jackdawyard/jackdawyard/pkg/jybelief"
+	"github.com/jackdawyard/jackdawyard/pkg/jymember"
+	"github.com/jackdawyard/jackdawyard/pkg/jynote"
+)
+
+// fleet is a membership of two.
+type fleet struct{ self, other jymember.Member }
+
+func (f fleet) Self() jymember.Member      { return f.self }
+func (f fleet) Working() []jymember.Member { return []jymember.Member{f.self, f.other} }
+func (f fleet) Changes() uint64            { return 1 }
+
+func member(address string) jymember.Member {
+	return jymember.Member{Name: jymember.Name("entry-" + address), Boot: 1, Address: address + ":1", DataCentre: "one"}
+}
+
+func newDirectory(centre string) *jybackend.Directory {
+	d := jybackend.NewDirectory(jybackend.Config{
+		ByLoss: true, DataCentre: centre, Instances: func() int { return 2 }, IsNear: func(jynote.DataCentreName) bool { return true },
+	})
+	d.Apply(jynote.State{
+		Number: 1, Services: []jynote.Service{{Name: "s", DeadlineMilliseconds: 1000}},
+		BackendServers: []jynote.BackendServer{{Name: "a", Service: "s", Address: "127.0.0.1:1", DataCentre: "one", Slots: 2, Connections: 300}},
+	})
+	return d
+}
+
+// freePort returns a port that is free at both addresses for now.
+func freePort(t *testing.T) netip.AddrPort {
+	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 2)})
+	require.NoError(t, err)
+	defer func() { require.NoError(t, conn.Close()) }()
+	return netip.MustParseAddrPort(conn.LocalAddr().String())
+}
+
+// start runs an instance at one address whose only peer is at the other.
+func start(t *testing.T, self, other string, port uint16) *jybackend.Directory {
+	d := newDirectory("one")
+	listen := netip.AddrPortFrom(netip.MustParseAddr(self), port)
+	s, err := jysignal.New(jysignal.Config{Listen: listen.String(), Fleet: fleet{self: member(self), other: member(other)}, Directory: d})
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- s.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		assert.NoError(t, <-ended)
+	})
+	return d
+}
+
+func grayChance(d *jybackend.Directory) float64 {
+	_, gray := d.Snapshot().Server("s", "a").View(time.Now())
+	return gray
+}
+
+func TestAnInstanceThatStartsHearsWhatItsPeersBelieve(t *testing.T) {
+	const first, second = "127.0.0.2", "127.0.0.3"
+	port := freePort(t).Port()
+	seasoned := start(t, first, second, port)
+	var failed jybelief.Counts
+	failed[jybelief.FailedEarly] = 2
+	snapshot := seasoned.Snapshot()
+	snapshot.Hear(time.Now(), snapshot.Server("s", "a").Hash(), jybackend.Reporter{Name: "entry-3", Boot: 1, Sequence: 1}, jybackend.Heard{Outcomes: failed, IsNear: true})
+	require.Greater(t, grayChance(seasoned), 0.9)
+
+	started := start(t, second, first, port)
+	assert.Eventually(t, func() bool { return grayChance(started) > 0.9 }, 10*time.Second, 5*time.Millisecond)
+}
--- a/internal/jysignal/peers.go
+++ b/internal/jysignal/peers.go
@@ -3,23 +3,21 @@
 import (
 	"net/netip"
 	"sync"
-	"time"
 
 	"github.com/jackdawyard/jackdawyard/pkg/jymember"
 	"github.com/jackdawyard/jackdawyard/pkg/jyrendezvous"
 )
 
-// peerInterval is how often the list of peers is read.
-const peerInterval = 500 * time.Millisecond
-
 // peers knows where the other instances take signals.
 type peers struct {
 	fleet Fleet
 	port  uint16
 
-	mu   sync.Mutex
-	read time.Time
-	near []netip.AddrPort
+	mu sync.Mutex
+	// isRead says that the list was read, as of the fleet's changes.
+	isRead  bool
+	changes uint64
+	near    []netip.AddrPort
 	// far holds the instances of each other data centre, in the order in which this one uses them as relays.
 	far map[string][]netip.AddrPort
 	// speaks says that this instance tells other data centres what its own believes.
@@ -27,18 +25,18 @@
 }
 
 // nearby returns the instances in the same data centre.
-func (p *peers) nearby(now time.Time) []netip.AddrPort {
+func (p *peers) nearby() []netip.AddrPort {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.refresh(now)
+	p.refresh()
 	return p.near
 }
 
 // relays returns up to count instances of each other data centre.
-func (p *peers) relays(now time.Time, count int) map[string][]netip.AddrPort {
+func (p *peers) relays(count int) map[string][]netip.AddrPort {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.refresh(now)
+	p.refresh()
 	out := make(map[string][]netip.AddrPort, len(p.far))
 	for centre, list := range p.far {
 		out[centre] = list[:min(count, len(list))]
@@ -47,18 +45,19 @@
 }
 
 // isSpeaker reports whether this instance speaks for its data centre.
-func (p *peers) isSpeaker(now time.Time) bool {
+func (p *peers) isSpeaker() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.refresh(now)
+	p.refresh()
 	return p.speaks
 }
 
-func (p *peers) refresh(now time.Time) {
-	if now.Sub(p.read) < peerInterval {
+func (p *peers) refresh() {
+	changes := p.fleet.Changes()
+	if p.isRead && changes == p.changes {
 		return
 	}
-	p.read = now
+	p.isRead, p.changes = true, changes
 	self := p.fleet.Self()
 	byCentre := map[string][]jymember.Name{}
 	address := map[jymember.Name]netip.AddrPort{}
--- a/internal/jysignal/send.go
+++ b/internal/jysignal/send.go
@@ -44,12 +44,12 @@
 		case <-s.pending.urgent:
 		case <-time.After(batchTime):
 		}
-		s.tell(time.Now(), s.pending.take())
+		s.tell(s.pending.take())
 	}
 }
 
 // tell sends all news to the instances nearby; other data centres hear of failures, and of load at their own servers.
-func (s *Signals) tell(now time.Time, all map[*jybackend.Server]news) {
+func (s *Signals) tell(all map[*jybackend.Server]news) {
 	var list, failed []*jywire.ServerSignal
 	away := map[string][]*jywire.ServerSignal{}
 	for server, n := range all {
@@ -65,15 +65,15 @@
 		}
 	}
 	for _, m := range s.split(list) {
-		s.post(m, s.peers.nearby(now))
+		s.post(m, s.peers.nearby())
 	}
 	for _, m := range s.split(failed) {
 		m.Forward = true
-		for _, to := range s.peers.relays(now, failureRelays) {
+		for _, to := range s.peers.relays(failureRelays) {
 			s.post(m, to)
 		}
 	}
-	relays := s.peers.relays(now, 1)
+	relays := s.peers.relays(1)
 	for centre, part := range away {
 		for _, m := range s.split(part) {
 			m.Forward = true
@@ -105,13 +105,12 @@
 }
 
 func (s *Signals) next() *jywire.Signal {
-	s.sequence++
-	return &jywire.Signal{Sender: string(s.self.Name), Boot: uint64(s.self.Boot), Sequence: s.sequence, DataCentre: s.self.DataCentre}
+	return &jywire.Signal{Sender: string(s.self.Name), Boot: uint64(s.self.Boot), Sequence: s.sequence.Add(1), DataCentre: s.self.DataCentre}
 }
 
 // tellViews tells the other data centres what this one believes of its servers, where that has changed.
 func (s *Signals) tellViews(now time.Time) {
-	if !s.peers.isSpeaker(now) {
+	if !s.peers.isSpeaker() {
 		return
 	}
 	var list []*jywire.ServerView
@@ -129,15 +128,10 @@
 			}
 		}
 	}
-	for len(list)+len(services) > 0 {
-		part := list[:min(len(list), maxServers)]
-		list = list[len(part):]
-		m := s.next()
-		m.Views, m.Services = part, services
-		services = nil
-		s.post(m, s.peers.nearby(now))
+	for _, m := range s.splitViews(list, services) {
+		s.post(m, s.peers.nearby())
 		m.Forward = true
-		for _, to := range s.peers.relays(now, 1) {
+		for _, to := range s.peers.relays(1) {
 			s.post(m, to)
 		}
 	}
@@ -153,5 +147,23 @@
 		return nil, false
 	}
 	s.told[hash] = view{load: load, gray: gray, at: now}
-	return &jywire.ServerView{Server: hash, Load: uint32(max(0, load)), GrayPerMille: uint32(gray * perMille)}, true
+	return wireView(hash, load, gray), true
+}
+
+func wireView(server uint64, load int, gray float64) *jywire.ServerView {
+	return &jywire.ServerView{Server: server, Load: uint32(max(0, load)), GrayPerMille: uint32(gray * perMille)}
+}
+
+// splitViews divides views into signals that fit into a datagram each; the first carries those of the services.
+func (s *Signals) splitViews(list []*jywire.ServerView, services []*jywire.ServiceView) []*jywire.Signal {
+	var out []*jywire.Signal
+	for len(list)+len(services) > 0 {
+		part := list[:min(len(list), maxServers)]
+		list = list[len(part):]
+		m := s.next()
+		m.Views, m.Services = part, services
+		services = nil
+		out = append(out, m)
+	}
+	return out
 }
--- a/internal/jysignal/signals.go
+++ b/internal/jysignal/signals.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -21,6 +22,8 @@
 type Fleet interface {
 	Self() jymember.Member
 	Working() []jymember.Member
+	// Changes returns a number that differs once Working does.
+	Changes() uint64
 }
 
 // Config sets up Signals.
@@ -41,15 +44,14 @@
 
 // Signals sends and receives signals.
 type Signals struct {
-	config  Config
-	self    jymember.Member
-	conn    *net.UDPConn
-	pending *pending
-	peers   *peers
-	seen    map[string]*window // by sender; used by the receiving goroutine alone
-	// sequence and told are used by the sending goroutine alone.
-	sequence uint64
-	told     map[uint64]view
+	config   Config
+	self     jymember.Member
+	conn     *net.UDPConn
+	pending  *pending
+	peers    *peers
+	seen     map[string]*window // by sender; used by the receiving goroutine alone
+	sequence atomic.Uint64
+	told     map[uint64]view // used by the sending goroutine alone
 }
 
 // New opens the socket; its errors are of kind NoAddress.
@@ -89,9 +91,10 @@
 	stop := context.AfterFunc(ctx, func() { _ = s.conn.Close() })
 	defer stop()
 	go s.send(ctx)
+	go s.catchUp(ctx)
 	buffer := make([]byte, maxBytes)
 	for {
-		n, _, err := s.conn.ReadFromUDPAddrPort(buffer)
+		n, from, err := s.conn.ReadFromUDPAddrPort(buffer)
 		if ctx.Err() != nil {
 			return nil
 		}
@@ -100,11 +103,11 @@
 			jykernel.Wait(ctx, batchTime)
 			continue
 		}
-		s.receive(buffer[:n])
+		s.receive(buffer[:n], from)
 	}
 }
 
-func (s *Signals) receive(raw []byte) {
+func (s *Signals) receive(raw []byte, from netip.AddrPort) {
 	var m jywire.Signal
 	if err := proto.Unmarshal(raw, &m); err != nil {
 		jylog.SignalUnreadable.Log(err)
@@ -115,7 +118,10 @@
 	}
 	if m.GetForward() {
 		m.Forward = false
-		s.post(&m, s.peers.nearby(time.Now()))
+		s.post(&m, s.peers.nearby())
+	}
+	if m.GetWantsViews() {
+		s.tellEverything(time.Now(), from)
 	}
 	s.take(&m)
 }
--- /dev/null
+++ b/pkg/jymember/pace_test.go
@@ -0,0 +1,117 @@
+package jymember_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/jackdawyard/jackdawyard/pkg/jymember"
+)
+
+func TestHeartbeatsAreCloseTogetherAfterTheStart(t *testing.T) {
+	p := jymember.Pace{Interval: time.Second, Meeting: 100 * time.Millisecond, MeetingTime: 2 * time.Second}
+	tests := map[string]struct {
+		pace jymember.Pace
+		age  time.Duration
+		want time.Duration
+	}{
+		"just started":                     {pace: p, age: 0, want: 100 * time.Millisecond},
+		"met the others":                   {pace: p, age: 2 * time.Second, want: time.Second},
+		"an interval shorter than meeting": {pace: jymember.Pace{Interval: 50 * time.Millisecond, Meeting: p.Meeting, MeetingTime: p.MeetingTime}, want: 50 * time.Millisecond},
+		"no time to meet":                  {pace: jymember.Pace{Interval: time.Second}, want: time.Second},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			assert.Equal(t, tt.want, tt.pace.Next(tt.age))
+		})
+	}
+}
+
+// beat is when an instance sends its next heartbeat.
+type beat struct {
+	at       time.Duration
+	instance int
+}
+
+type beats []beat
+
+func (b beats) Len() int           { return len(b) }
+func (b beats) Less(i, j int) bool { return b[i].at < b[j].at }
+func (b beats) Swap(i, j int)      { b[i], b[j] = b[j], b[i] }
+func (b *beats) Push(x any)        { *b = append(*b, x.(beat)) }
+func (b *beats) Pop() any {
+	last := (*b)[len(*b)-1]
+	*b = (*b)[:len(*b)-1]
+	return last
+}
+
+// longestMeeting is the time after which a meeting that has not come about is given up.
+const longestMeeting = 2 * time.Second
+
+// meet starts instances within the spread, which know three seeds only, and returns how long after the last start all know all.
+func meet(size int, spread time.Duration, p jymember.Pace, seed uint64) time.Duration {
+	f := &fleet{
+		now: start, random: rand.New(rand.NewPCG(seed, 5)), down: map[int]bool{}, asked: map[int]int{},
+		reaches: func(int, int) bool { return true },
+	}
+	queue := &beats{}
+	started := make([]time.Duration, size)
+	for i := range size {
+		f.tables = append(f.tables, f.table(i, 1))
+		f.down[i] = true
+		started[i] = time.Duration(f.random.Int64N(int64(spread)))
+		heap.Push(queue, beat{at: started[i], instance: i})
+	}
+	for {
+		b := heap.Pop(queue).(beat)
+		i := b.instance
+		f.now = start.Add(b.at)
+		f.down[i] = false
+		if p.IsMeeting(b.at - started[i]) {
+			f.asked[i] = 0
+		}
+		f.beat(i)
+		if b.at > spread+longestMeeting || (b.at > spread && f.haveMet()) {
+			return b.at - spread
+		}
+		heap.Push(queue, beat{at: b.at + p.Next(b.at-started[i]), instance: i})
+	}
+}
+
+// beat lets an instance send a heartbeat, to the seeds while it knows nobody.
+func (f *fleet) beat(i int) {
+	if f.tables[i].WorkingCount() == 1 {
+		for s := range 3 {
+			if s != i {
+				f.call(i, s)
+			}
+		}
+		return
+	}
+	if p, ok := f.tables[i].NextProbe(f.random.Shuffle); ok {
+		f.call(i, index(p.Target))
+	}
+}
+
+func (f *fleet) haveMet() bool {
+	for _, t := range f.tables {
+		if t.WorkingCount() < len(f.tables) {
+			return false
+		}
+	}
+	return true
+}
+
+func TestInstancesThatStartTogetherKnowEachOtherWithinASecond(t *testing.T) {
+	for _, size := range []int{3, 15, 53, 300} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			for seed := range uint64(5) {
+				assert.Less(t, meet(size, 300*time.Millisecond, jymember.DefaultPace(time.Second), seed), time.Second, "seed %d", seed)
+			}
+		})
+	}
+}
--- a/pkg/jymember/table.go
+++ b/pkg/jymember/table.go
@@ -14,6 +14,7 @@
 	ring        []Name          // whom to send heartbeats to, in turn
 	rumours     []rumour
 	successions map[Run]succession
+	changes     uint64
 }
 
 type entry struct {
@@ -111,14 +112,19 @@
 	return n
 }
 
+// Changes returns a number that rises with each change of a member.
+func (t *Table) Changes() uint64 { return t.changes }
+
 // add puts a new entry into its place.
 func (t *Table) add(n Name, e *entry) {
+	t.changes++
 	t.entries[n] = e
 	i, _ := slices.BinarySearch(t.order, n)
 	t.order = slices.Insert(t.order, i, n)
 }
 
 func (t *Table) remove(n Name) {
+	t.changes++
 	delete(t.entries, n)
 	if i, ok := slices.BinarySearch(t.order, n); ok {
 		t.order = slices.Delete(t.order, i, i+1)
@@ -184,6 +190,7 @@
 
 func (t *Table) set(now time.Time, e *entry, m Member, news, isNew bool) []Event {
 	before := e.Status
+	t.changes++
 	e.Member = m
 	if before != m.Status || isNew {
 		e.since = now
