Try a doubted server more seldom while its service fails

Change: while the service fails, a server doubted by more than half gets a request each 3 s, one that may be repeated each 2 s; others as before.

--- a/internal/jybackend/coverage.go
+++ b/internal/jybackend/coverage.go
@@ -14,8 +14,11 @@
 	FailShare:   0.085,
 	MinFailures: 4,
 	Calm:        jyplace.Cover{Share: 0.8, Lately: 1600 * time.Millisecond, MaxFailChance: 0.4},
-	Trouble:     jyplace.Cover{Share: 1, Lately: 1200 * time.Millisecond, MaxFailChance: 1},
-	Memory:      1500 * time.Millisecond,
+	Trouble: jyplace.Cover{
+		Share: 1, Lately: 1200 * time.Millisecond, MaxFailChance: 0.5,
+		Doubted: 3 * time.Second, DoubtedRepeatable: 2 * time.Second,
+	},
+	Memory: 1500 * time.Millisecond,
 }
 
 // coverage is a jyplace.Coverage for concurrent use.
--- a/internal/jybackend/loss.go
+++ b/internal/jybackend/loss.go
@@ -23,7 +23,7 @@
 	cover, lacking := v.cover(now)
 	i := jyplace.Choose(len(v.Servers), func(i int) jyplace.Candidate {
 		c := v.candidate(now, v.Servers[i], n)
-		c.IsDue = lacking && v.isNearby(v.Servers[i]) && c.FailChance <= cover.MaxFailChance && cover.IsDue(now, v.Servers[i].lastUsed())
+		c.IsDue = lacking && v.isNearby(v.Servers[i]) && cover.IsDue(now, v.Servers[i].lastUsed(), c.FailChance, n.IsRepeatable)
 		return c
 	}, request, rand.Float64)
 	if i == jyplace.None {
--- a/pkg/jyplace/coverage.go
+++ b/pkg/jyplace/coverage.go
@@ -23,8 +23,12 @@
 	Share float64
 	// Lately is how long ago a request may have been sent to a server that counts as covered.
 	Lately time.Duration
-	// MaxFailChance is the chance to fail above which a server is not tried for the sake of coverage.
+	// MaxFailChance is the chance to fail above which a server is doubted.
 	MaxFailChance float64
+	// Doubted and DoubtedRepeatable are what Lately is for a doubted server, in the eyes of a request and of one that
+	// may be repeated; 0 is never.
+	Doubted           time.Duration
+	DoubtedRepeatable time.Duration
 }
 
 // Coverage answers a service that fails many requests while some of its servers get none: those may be well by now. It is
@@ -68,12 +72,21 @@
 func (c Cover) Lacks(now time.Time, last []time.Time) bool {
 	covered := 0
 	for _, t := range last {
-		if !c.IsDue(now, t) {
+		if now.Sub(t) <= c.Lately {
 			covered++
 		}
 	}
 	return float64(covered) < c.Share*float64(len(last))
 }
 
-// IsDue reports whether a server that last got a request then is not covered.
-func (c Cover) IsDue(now, last time.Time) bool { return now.Sub(last) > c.Lately }
+// IsDue reports whether a request must try a server that got its last one then, and fails with this chance.
+func (c Cover) IsDue(now, last time.Time, failChance float64, isRepeatable bool) bool {
+	lately := c.Lately
+	if failChance > c.MaxFailChance {
+		lately = c.Doubted
+		if isRepeatable {
+			lately = c.DoubtedRepeatable
+		}
+	}
+	return lately > 0 && now.Sub(last) > lately
+}
--- a/pkg/jyplace/coverage_test.go
+++ b/pkg/jyplace/coverage_test.go
@@ -11,8 +11,8 @@
 
 var coverageConfig = jyplace.CoverageConfig{
 	FailShare: 0.1, MinFailures: 3, Memory: time.Second,
-	Calm:    jyplace.Cover{Share: 0.5, Lately: 2 * time.Second},
-	Trouble: jyplace.Cover{Share: 0.8, Lately: time.Second},
+	Calm:    jyplace.Cover{Share: 0.5, Lately: 2 * time.Second, MaxFailChance: 0.4},
+	Trouble: jyplace.Cover{Share: 0.8, Lately: time.Second, MaxFailChance: 0.5},
 }
 
 func TestCoverageIsWiderWhileAServiceFails(t *testing.T) {
@@ -46,6 +46,31 @@
 	recent, old := now.Add(-500*time.Millisecond), now.Add(-2*time.Second)
 	assert.False(t, c.Lacks(now, []time.Time{recent, recent, recent, recent, old}))
 	assert.True(t, c.Lacks(now, []time.Time{recent, recent, recent, old, old}))
-	assert.True(t, c.IsDue(now, old))
-	assert.False(t, c.IsDue(now, recent))
+}
+
+func TestADoubtedServerIsTriedAgainMoreSeldom(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	c := jyplace.Cover{
+		Share: 1, Lately: time.Second, MaxFailChance: 0.5, Doubted: 3 * time.Second, DoubtedRepeatable: 2 * time.Second,
+	}
+	tests := map[string]struct {
+		cover        jyplace.Cover
+		failChance   float64
+		isRepeatable bool
+		due          time.Duration
+	}{
+		"a trusted server":                         {cover: c, failChance: 0.1, due: time.Second},
+		"a doubted server":                         {cover: c, failChance: 0.9, due: 3 * time.Second},
+		"a doubted server, by repeatable requests": {cover: c, failChance: 0.9, isRepeatable: true, due: 2 * time.Second},
+		"a doubted server where that is not asked": {cover: coverageConfig.Calm, failChance: 0.9, due: 0},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			isDue := func(after time.Duration) bool {
+				return tt.cover.IsDue(now, now.Add(-after), tt.failChance, tt.isRepeatable)
+			}
+			assert.False(t, isDue(tt.due))
+			assert.Equal(t, tt.due > 0, isDue(tt.due+time.Millisecond))
+		})
+	}
 }
