Judge by when a request was sent, learn where servers shed, and replay the load in virtual time

Change: an answer to a request that was sent before the server failed another tells nothing (it is not told to peers either); cold servers get more patience, late answers count; what is learnt counts less where a server was used within 0.5 s; the load at which servers shed is learnt (Room).

An early failure at a well server weighs ten times as much now.

--- a/internal/jybackend/coverage.go
+++ b/internal/jybackend/coverage.go
@@ -9,18 +9,6 @@
 	"github.com/jackdawyard/jackdawyard/pkg/jyplace"
 )
 
-// coverageConfig keeps the servers of a service in use while it fails about one request in twelve.
-var coverageConfig = jyplace.CoverageConfig{
-	FailShare:   0.085,
-	MinFailures: 4,
-	Calm:        jyplace.Cover{Share: 0.8, Lately: 1600 * time.Millisecond, MaxFailChance: 0.4},
-	Trouble: jyplace.Cover{
-		Share: 1, Lately: 1200 * time.Millisecond, MaxFailChance: 0.5,
-		Doubted: 3 * time.Second, DoubtedRepeatable: 2 * time.Second,
-	},
-	Memory: 1500 * time.Millisecond,
-}
-
 // coverage is a jyplace.Coverage for concurrent use.
 type coverage struct {
 	mu     sync.Mutex
@@ -29,7 +17,9 @@
 	nearby Finished
 }
 
-func newCoverage() *coverage { return &coverage{decide: jyplace.NewCoverage(coverageConfig)} }
+func newCoverage() *coverage {
+	return &coverage{decide: jyplace.NewCoverage(jyplace.DefaultCoverage())}
+}
 
 // observe takes requests that ended in this data centre.
 func (c *coverage) observe(now time.Time, f Finished) {
--- a/internal/jybackend/health.go
+++ b/internal/jybackend/health.go
@@ -9,14 +9,8 @@
 	"github.com/jackdawyard/jackdawyard/pkg/jybelief"
 )
 
-// grayModel is how backend servers turn gray: for seconds at a time.
-var grayModel = jybelief.Config{
-	Onset:    0.05,
-	Recovery: 0.12,
-	Least:    0.001,
-	Well:     jybelief.Likelihood{jybelief.Answered: 0.976, jybelief.FailedEarly: 0.0005, jybelief.FailedLate: 0.012, jybelief.Silent: 0.01},
-	Gray:     jybelief.Likelihood{jybelief.Answered: 0.15, jybelief.FailedEarly: 0.55, jybelief.FailedLate: 0.2, jybelief.Silent: 0.1},
-}
+// grayModel is how backend servers turn gray.
+var grayModel = jybelief.DefaultConfig()
 
 const (
 	// doubted is the chance of being gray from which on a server is shown as doubted.
@@ -27,9 +21,9 @@
 	own = "own"
 	// coldSlowdown is how much longer a server works that has just started.
 	coldSlowdown = 2
-	// fullTime is how long a server that shed a request is taken to be full, and shedChance how likely it sheds others.
-	fullTime   = 200 * time.Millisecond
-	shedChance = 0.5
+	// fullTime is how long a server that shed a request is taken to be full, and shedAgainChance how likely it sheds others.
+	fullTime        = 200 * time.Millisecond
+	shedAgainChance = 0.5
 )
 
 // health is what is believed of one server at this moment.
@@ -39,15 +33,22 @@
 	coldUntil time.Time
 }
 
-// observe takes an outcome and returns the chance of being gray before and after it.
-func (h *health) observe(now time.Time, o jybelief.Outcome) (before, after float64) {
+// observe takes the outcome of a request and returns the chance of being gray before and after it.
+func (h *health) observe(sent, now time.Time, o jybelief.Outcome) (before, after float64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	before = grayModel.GrayChance(h.belief, now)
-	h.belief = grayModel.Observe(h.belief, now, o)
+	h.belief = grayModel.Observe(h.belief, sent, now, o)
 	return before, grayModel.GrayChance(h.belief, now)
 }
 
+// isOverruled reports whether an answer to a request sent then tells nothing any more.
+func (h *health) isOverruled(sent time.Time, o jybelief.Outcome) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.belief.IsOverruled(sent, o)
+}
+
 // adopt takes what others believe, unless an outcome was observed here just now.
 func (h *health) adopt(now time.Time, gray float64) {
 	h.mu.Lock()
@@ -81,9 +82,9 @@
 // Rounded returns a chance in thousandths, for the log.
 func Rounded(chance float64) float64 { return math.Round(chance*1000) / 1000 }
 
-// observe takes an outcome, seen here or by the instance named as source, and logs where it changes what is believed.
-func (s *Server) observe(now time.Time, o jybelief.Outcome, source string) {
-	before, after := s.health.observe(now, o)
+// observe takes the outcome of a request, seen here or by the instance named as source, and logs where it changes what is believed.
+func (s *Server) observe(sent, now time.Time, o jybelief.Outcome, source string) {
+	before, after := s.health.observe(sent, now, o)
 	switch {
 	case before < doubted && after >= doubted:
 		jylog.ServerDoubted.LogAtMost(beliefLines, s.Info.Service, s.Info.Name, Rounded(after), o, source)
@@ -103,9 +104,6 @@
 	return grayModel.FailChance(h.belief, now), slowdown, h.belief.IsNew()
 }
 
-// MarkFull records that the server shed a request.
-func (s *Server) MarkFull(now time.Time) { s.full.Store(now.Add(fullTime).UnixNano()) }
-
 func (s *Server) isFull(now time.Time) bool { return now.UnixNano() < s.full.Load() }
 
 // SetColdUntil records until when the server is slow after its start.
--- a/internal/jybackend/hearsay.go
+++ b/internal/jybackend/hearsay.go
@@ -55,7 +55,7 @@
 	}
 	for outcome, count := range h.Outcomes {
 		for range count {
-			s.observe(now, jybelief.Outcome(outcome), from.Name)
+			s.observe(now, now, jybelief.Outcome(outcome), from.Name)
 		}
 	}
 }
--- a/internal/jybackend/loss.go
+++ b/internal/jybackend/loss.go
@@ -41,7 +41,7 @@
 }
 
 func (v *Service) candidate(now time.Time, s *Server, n Need) jyplace.Candidate {
-	c := jyplace.Candidate{InFlight: float64(s.load(now)), Slots: s.Info.Slots}
+	c := jyplace.Candidate{InFlight: float64(s.load(now)), Slots: s.Info.Slots, Unused: now.Sub(s.lastUsed())}
 	c.IsExcluded = n.excludes(s) || s.IsDraining(now) || s.InFlight() >= queueFactor*s.Info.Slots
 	if c.IsExcluded {
 		return c
@@ -51,9 +51,7 @@
 	if s.isPassedOver(now) {
 		c.FailChance = 1
 	}
-	if s.isFull(now) {
-		c.FailChance = max(c.FailChance, shedChance)
-	}
+	c.ShedChance = v.shedChance(now, s, c.InFlight)
 	if !v.isNearby(s) {
 		c.Distance = remoteDistance
 		c.IsNew = false
@@ -61,6 +59,32 @@
 	return c
 }
 
+// shedChance returns the chance that the server, which holds load requests, sheds another.
+func (v *Service) shedChance(now time.Time, s *Server, load float64) float64 {
+	v.mu.Lock()
+	chance := v.room.ShedChance(load, s.Info.Slots)
+	v.mu.Unlock()
+	if s.isFull(now) {
+		return max(chance, shedAgainChance)
+	}
+	return chance
+}
+
+// NoteShed records that a server shed a request.
+func (v *Service) NoteShed(now time.Time, p Placement) {
+	p.Server.full.Store(now.Add(fullTime).UnixNano())
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.room.Shed(p.Load, p.Server.Info.Slots)
+}
+
+// noteTaken records that a server worked on a request.
+func (v *Service) noteTaken(p Placement) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.room.Took(p.Load, p.Server.Info.Slots)
+}
+
 // load returns the requests that all instances have at the server, as far as known here.
 func (s *Server) load(now time.Time) int {
 	return max(s.InFlight()+s.hearsay.others(now), s.hearsay.viewedLoad(now))
--- a/internal/jybackend/loss_test.go
+++ b/internal/jybackend/loss_test.go
@@ -21,7 +21,7 @@
 		got[string(p.Server.Info.Name)]++
 		r, latency := result(p.Server)
 		p.Server.Release()
-		v.Record(p, r, latency, false)
+		v.Record(p, r, latency)
 	}
 	return got
 }
@@ -61,3 +61,38 @@
 	got := use(t, v, 50, answered)
 	assert.Zero(t, got[string(busy.Info.Name)])
 }
+
+func TestASlowAnswerTakesBackWhatItsSilenceTold(t *testing.T) {
+	v := byLoss(1)
+	use(t, v, 60, answered)
+	before := v.Servers[0].FailChance(time.Now())
+	p, err := v.Choose(time.Now(), jybackend.Need{Objective: time.Second})
+	require.NoError(t, err)
+	v.NoteSilence(p.Server)
+	silent := p.Server.FailChance(time.Now())
+	require.Greater(t, silent, before)
+	v.Record(p, jybackend.Answered, 4*usualLatency)
+	assert.Less(t, p.Server.FailChance(time.Now()), silent)
+}
+
+func TestAnAnswerToAnEarlierRequestIsNotToldAfterAFailure(t *testing.T) {
+	v := byLoss(1)
+	use(t, v, 60, answered)
+	s := v.Servers[0]
+	p, err := v.Choose(time.Now(), jybackend.Need{Objective: time.Second})
+	require.NoError(t, err)
+	v.Hear(s, jybackend.Heard{Outcomes: jybackend.FailedEarly()})
+	failed := s.FailChance(time.Now())
+	v.Record(p, jybackend.Answered, usualLatency)
+	assert.InDelta(t, failed, s.FailChance(time.Now()), 0.01)
+}
+
+func TestAServerThatHasJustStartedIsGivenMoreTime(t *testing.T) {
+	v := byLoss(1)
+	use(t, v, 60, answered)
+	p := jybackend.Placement{Server: v.Servers[0]}
+	usual := v.PatienceFor(p)
+	require.Positive(t, usual)
+	v.Servers[0].SetColdUntil(time.Now().Add(time.Minute))
+	assert.Greater(t, v.PatienceFor(p), usual)
+}
--- a/internal/jybackend/outcome.go
+++ b/internal/jybackend/outcome.go
@@ -39,12 +39,14 @@
 	}
 	ahead := max(0, p.Load+1-p.Server.Info.Slots)
 	wait := v.Work() * time.Duration(ahead) / time.Duration(p.Server.Info.Slots)
-	return patienceFactor * (usual + wait)
+	_, slowdown, _ := p.Server.health.outlook(time.Now())
+	return time.Duration(patienceFactor * slowdown * float64(usual+wait))
 }
 
 // NoteSilence records that an answer is overdue.
 func (v *Service) NoteSilence(s *Server) {
-	s.observe(time.Now(), jybelief.Silent, own)
+	now := time.Now()
+	s.observe(now, now, jybelief.Silent, own)
 	if v.observer != nil {
 		v.observer.Ended(s, jybelief.Silent, true)
 	}
--- a/internal/jybackend/server.go
+++ b/internal/jybackend/server.go
@@ -84,18 +84,19 @@
 // Hash identifies the server in signals between instances.
 func (s *Server) Hash() uint64 { return xxhash.Sum64String(string(s.Info.Name)) }
 
-// Record counts a finished attempt, whose answer was overdue if wasSilent, and reports whether it was a failure.
-func (v *Service) Record(p Placement, r Result, latency time.Duration, wasSilent bool) bool {
+// Record counts a finished attempt and reports whether it was a failure.
+func (v *Service) Record(p Placement, r Result, latency time.Duration) bool {
 	s := p.Server
 	outcome, tells := v.outcomeOf(r, latency)
-	// An answer that was overdue was counted when it was.
-	tells = tells && !(wasSilent && r == Answered)
+	now := time.Now()
+	if r == Answered {
+		v.coverage.observe(now, Finished{Served: 1})
+	}
+	sent := now.Add(-latency)
+	// An answer that was overdue takes back what its silence told: the server is slow, not gray.
+	tells = tells && !s.health.isOverruled(sent, outcome)
 	if tells {
-		now := time.Now()
-		s.observe(now, outcome, own)
-		if outcome == jybelief.Answered {
-			v.coverage.observe(now, Finished{Served: 1})
-		}
+		s.observe(sent, now, outcome, own)
 	}
 	if v.observer != nil {
 		v.observer.Ended(s, outcome, tells)
@@ -108,6 +109,7 @@
 		s.failures.Add(1)
 		return true
 	case Answered:
+		v.noteTaken(p)
 		s.lost.Store(0)
 		s.attempts.Add(1)
 		if p.hasSlot() {
--- a/internal/jybackend/service.go
+++ b/internal/jybackend/service.go
@@ -10,6 +10,7 @@
 	"github.com/jackdawyard/jackdawyard/pkg/jyfault"
 	"github.com/jackdawyard/jackdawyard/pkg/jyfloor"
 	"github.com/jackdawyard/jackdawyard/pkg/jynote"
+	"github.com/jackdawyard/jackdawyard/pkg/jyplace"
 	"github.com/jackdawyard/jackdawyard/pkg/jyretry"
 	"github.com/jackdawyard/jackdawyard/pkg/jyslot"
 	"github.com/jackdawyard/jackdawyard/pkg/jysubset"
@@ -38,6 +39,7 @@
 	most   atomic.Int32 // requests in flight at one server
 	mu     sync.Mutex   // guards what follows
 	budget *jyretry.Budget
+	room   jyplace.Room
 	slack  func() float64
 	fleet  []jydetector.Verdict
 	local  []jydetector.Verdict
--- a/internal/jycommand/experiment.go
+++ b/internal/jycommand/experiment.go
@@ -40,6 +40,16 @@
 					})
 				},
 			},
+			{
+				Name: "placing", Usage: "ways of choosing a server while servers turn gray, beside one that knows which are",
+				Flags: []cli.Flag{
+					&cli.IntFlag{Name: "seeds", Value: 20},
+					&cli.DurationFlag{Name: "time", Usage: "virtual time of each run", Value: time.Minute},
+				},
+				Action: func(_ context.Context, c *cli.Command) error {
+					return jyexperiment.WritePlacing(c.Root().Writer, jyexperiment.PlacingOptions{Seeds: int(c.Int("seeds")), Time: c.Duration("time")})
+				},
+			},
 			capacityCommand(),
 		},
 	}
--- /dev/null
+++ b/internal/jyexperiment/clock.go
@@ -0,0 +1,52 @@
+package jyexperiment
+
+import (
+	"container/heap"
+	"time"
+)
+
+// clock runs events in virtual time.
+type clock struct {
+	now      time.Duration
+	events   eventQueue
+	sequence uint64
+}
+
+type event struct {
+	at       time.Duration
+	sequence uint64
+	run      func()
+}
+
+type eventQueue []event
+
+func (q eventQueue) Len() int { return len(q) }
+func (q eventQueue) Less(i, j int) bool {
+	if q[i].at != q[j].at {
+		return q[i].at < q[j].at
+	}
+	return q[i].sequence < q[j].sequence
+}
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *eventQueue) Pop() any {
+	last := len(*q) - 1
+	e := (*q)[last]
+	*q = (*q)[:last]
+	return e
+}
+
+// after runs a function once the time has passed.
+func (c *clock) after(d time.Duration, run func()) {
+	c.sequence++
+	heap.Push(&c.events, event{at: c.now + d, sequence: c.sequence, run: run})
+}
+
+// run runs all events, and those that they bring.
+func (c *clock) run() {
+	for c.events.Len() > 0 {
+		e := heap.Pop(&c.events).(event)
+		c.now = e.at
+		e.run()
+	}
+}
--- /dev/null
+++ b/internal/jyexperiment/placing.go
@@ -0,0 +1,264 @@
+package jyexperiment
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/jackdawyard/jackdawyard/pkg/jybelief"
+	"github.com/jackdawyard/jackdawyard/pkg/jyplace"
+)
+
+// Placer names a way of choosing the backend server of a request.
+type Placer string
+
+// The ways of choosing.
+const (
+	// PlaceByLoss chooses by expected loss, from what was observed.
+	PlaceByLoss Placer = "expected loss"
+	// PlaceByTruth chooses by expected loss, and knows which servers are gray at the moment: no way of observing does better.
+	PlaceByTruth Placer = "truth known"
+	// PlaceByLoad chooses the least busy server.
+	PlaceByLoad Placer = "least busy"
+)
+
+// Placers lists all ways of choosing.
+var Placers = []Placer{PlaceByLoad, PlaceByLoss, PlaceByTruth}
+
+// PlacingCase is one way of choosing under one load, at one service.
+type PlacingCase struct {
+	Placer     Placer
+	Servers    int
+	Slots      int
+	Queue      int     // requests that wait at a server before it sheds others
+	Rate       float64 // requests a second
+	Repeatable float64 // share of the requests that may be repeated, once each
+	Work       time.Duration
+	Objective  time.Duration
+	Time       time.Duration
+	// NewsDelay is how long it takes until an outcome is known to all instances.
+	NewsDelay time.Duration
+	// BurstFrom and BurstUntil bound a time of BurstFactor times the rate.
+	BurstFrom, BurstUntil time.Duration
+	BurstFactor           float64
+}
+
+// PlacingResult is what became of the requests, as shares of all.
+type PlacingResult struct {
+	InTime float64 // served within the objective
+	Late   float64 // served later
+	Failed float64
+	Shed   float64
+	// Again is the number of repeats for each request.
+	Again float64
+}
+
+// Unserved returns the share of the requests that got no answer of worth.
+func (r PlacingResult) Unserved() float64 { return r.Failed + r.Shed }
+
+// How servers turn gray and recover, and how they fail requests.
+const (
+	leastWell     = 10 * time.Second
+	moreWell      = 12 * time.Second // mean, beyond the least
+	leastGray     = 4 * time.Second
+	moreGray      = 5 * time.Second // mean, beyond the least
+	grayFailure   = 0.9
+	grayFailTime  = 3 * time.Millisecond
+	honestFailure = 0.012
+)
+
+// placingSim is one run in virtual time.
+type placingSim struct {
+	clock
+	c        PlacingCase
+	random   *rand.Rand
+	model    jybelief.Config
+	coverage *jyplace.Coverage
+	room     jyplace.Room
+	servers  []placingServer
+	out      PlacingResult
+	requests float64
+}
+
+type placingServer struct {
+	isGray   bool
+	busy     int
+	waiting  []*placingRequest
+	inFlight int
+	belief   jybelief.Belief
+	used     time.Time
+	wasUsed  bool
+}
+
+type placingRequest struct {
+	arrived      time.Duration
+	isRepeatable bool
+	sent         time.Time
+	server       int
+	load         int
+	tried        int // the server that failed it before, or -1
+}
+
+// Place runs one case.
+func Place(c PlacingCase, seed uint64) PlacingResult {
+	s := &placingSim{
+		c: c, random: rand.New(rand.NewPCG(seed, 7)), model: jybelief.DefaultConfig(),
+		coverage: jyplace.NewCoverage(jyplace.DefaultCoverage()), servers: make([]placingServer, c.Servers),
+	}
+	for i := range s.servers {
+		s.startServer(&s.servers[i])
+	}
+	s.after(0, s.arrive)
+	s.run()
+	n := s.requests
+	return PlacingResult{InTime: s.out.InTime / n, Late: s.out.Late / n, Failed: s.out.Failed / n, Shed: s.out.Shed / n, Again: s.out.Again / n}
+}
+
+// wall returns the virtual time as a clock shows it.
+func (s *placingSim) wall() time.Time { return time.Unix(1_000_000, 0).Add(s.now) }
+
+func (s *placingSim) startServer(v *placingServer) {
+	well, gray := leastWell+moreWell, leastGray+moreGray
+	v.isGray = s.random.Float64() < float64(gray)/float64(gray+well)
+	rest := time.Duration(s.random.Float64() * float64(s.phase(v.isGray)))
+	s.after(rest, func() { s.turn(v) })
+}
+
+func (s *placingSim) phase(isGray bool) time.Duration {
+	least, more := leastWell, moreWell
+	if isGray {
+		least, more = leastGray, moreGray
+	}
+	return least + time.Duration(s.random.ExpFloat64()*float64(more))
+}
+
+func (s *placingSim) turn(v *placingServer) {
+	if s.now > s.c.Time {
+		return
+	}
+	v.isGray = !v.isGray
+	s.after(s.phase(v.isGray), func() { s.turn(v) })
+}
+
+func (s *placingSim) arrive() {
+	if s.now >= s.c.Time {
+		return
+	}
+	rate := s.c.Rate
+	if s.now >= s.c.BurstFrom && s.now < s.c.BurstUntil {
+		rate *= s.c.BurstFactor
+	}
+	s.after(time.Duration(s.random.ExpFloat64()/rate*float64(time.Second)), s.arrive)
+	s.requests++
+	s.place(&placingRequest{arrived: s.now, isRepeatable: s.random.Float64() < s.c.Repeatable, tried: -1})
+}
+
+// place sends a request to the server that is chosen for it.
+func (s *placingSim) place(r *placingRequest) {
+	i := s.choose(r)
+	v := &s.servers[i]
+	r.server, r.load, r.sent = i, v.inFlight, s.wall()
+	v.inFlight++
+	v.used, v.wasUsed = s.wall(), true
+	switch {
+	case v.isGray && s.random.Float64() < grayFailure:
+		s.after(grayFailTime, func() { s.end(r, jybelief.FailedEarly) })
+	case v.busy < s.c.Slots:
+		v.busy++
+		s.work(r)
+	case len(v.waiting) < s.c.Queue:
+		v.waiting = append(v.waiting, r)
+	default:
+		v.inFlight--
+		s.room.Shed(r.load, s.c.Slots)
+		s.out.Shed++
+	}
+}
+
+func (s *placingSim) work(r *placingRequest) {
+	d := time.Duration(float64(s.c.Work) * math.Exp(latencySpread*s.random.NormFloat64()-latencySpread*latencySpread/2))
+	s.after(d, func() {
+		v := &s.servers[r.server]
+		v.busy--
+		if len(v.waiting) > 0 {
+			next := v.waiting[0]
+			v.waiting = v.waiting[1:]
+			v.busy++
+			s.work(next)
+		}
+		if s.random.Float64() < honestFailure {
+			s.end(r, jybelief.FailedLate)
+			return
+		}
+		s.end(r, jybelief.Answered)
+	})
+}
+
+// end takes an outcome, which all instances learn a little later.
+func (s *placingSim) end(r *placingRequest, o jybelief.Outcome) {
+	v := &s.servers[r.server]
+	v.inFlight--
+	if !v.belief.IsOverruled(r.sent, o) {
+		s.after(s.c.NewsDelay, func() { v.belief = s.model.Observe(v.belief, s.wall(), s.wall(), o) })
+	}
+	if o == jybelief.Answered {
+		s.room.Took(r.load, s.c.Slots)
+		s.coverage.Observe(s.wall(), 1, 0)
+		if s.now-r.arrived > s.c.Objective {
+			s.out.Late++
+			return
+		}
+		s.out.InTime++
+		return
+	}
+	if r.isRepeatable && r.tried < 0 {
+		s.out.Again++
+		r.tried = r.server
+		s.place(r)
+		return
+	}
+	s.coverage.Observe(s.wall(), 0, 1)
+	s.out.Failed++
+}
+
+func (s *placingSim) choose(r *placingRequest) int {
+	if s.c.Placer == PlaceByLoad {
+		return s.leastBusy(r)
+	}
+	now := s.wall()
+	cover := s.coverage.Now(now)
+	last := make([]time.Time, len(s.servers))
+	for i, v := range s.servers {
+		last[i] = v.used
+	}
+	lacks := cover.Lacks(now, last) && s.c.Placer == PlaceByLoss
+	request := jyplace.Request{Work: s.c.Work, Objective: s.c.Objective, IsRepeatable: r.isRepeatable && r.tried < 0}
+	return jyplace.Choose(len(s.servers), func(i int) jyplace.Candidate {
+		v := &s.servers[i]
+		c := jyplace.Candidate{
+			InFlight: float64(v.inFlight), Slots: s.c.Slots, Slowdown: 1, IsExcluded: i == r.tried,
+			ShedChance: s.room.ShedChance(float64(v.inFlight), s.c.Slots), FailChance: honestFailure,
+		}
+		if s.c.Placer == PlaceByTruth {
+			if v.isGray {
+				c.FailChance = grayFailure
+			}
+			return c
+		}
+		c.FailChance, c.Unused, c.IsNew = s.model.FailChance(v.belief, now), now.Sub(v.used), !v.wasUsed
+		c.IsDue = lacks && cover.IsDue(now, v.used, c.FailChance, request.IsRepeatable)
+		return c
+	}, request, s.random.Float64)
+}
+
+func (s *placingSim) leastBusy(r *placingRequest) int {
+	first := s.random.IntN(len(s.servers))
+	best := -1
+	for k := range s.servers {
+		i := (first + k) % len(s.servers)
+		if i != r.tried && (best < 0 || s.servers[i].inFlight < s.servers[best].inFlight) {
+			best = i
+		}
+	}
+	return best
+}
--- a/internal/jyexperiment/slots.go
+++ b/internal/jyexperiment/slots.go
@@ -1,7 +1,6 @@
 package jyexperiment
 
 import (
-	"container/heap"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -45,14 +44,12 @@
 
 // slotSim is one run in virtual time.
 type slotSim struct {
-	c        SlotCase
-	random   *rand.Rand
-	now      time.Duration
-	events   eventQueue
-	sequence uint64
-	targets  []target
-	policy   slotPolicy
-	budgets  []*jyretry.Budget
+	clock
+	c       SlotCase
+	random  *rand.Rand
+	targets []target
+	policy  slotPolicy
+	budgets []*jyretry.Budget
 
 	arrived, attempts, sheds int
 	good                     []int // by instance
@@ -72,35 +69,6 @@
 	tried    []int
 }
 
-type event struct {
-	at       time.Duration
-	sequence uint64
-	run      func()
-}
-
-type eventQueue []event
-
-func (q eventQueue) Len() int { return len(q) }
-func (q eventQueue) Less(i, j int) bool {
-	if q[i].at != q[j].at {
-		return q[i].at < q[j].at
-	}
-	return q[i].sequence < q[j].sequence
-}
-func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
-func (q *eventQueue) Pop() any {
-	last := len(*q) - 1
-	e := (*q)[last]
-	*q = (*q)[:last]
-	return e
-}
-
-func (s *slotSim) after(d time.Duration, run func()) {
-	s.sequence++
-	heap.Push(&s.events, event{at: s.now + d, sequence: s.sequence, run: run})
-}
-
 // Slots runs one case.
 func Slots(c SlotCase, seed uint64) SlotResult {
 	s := &slotSim{
@@ -112,11 +80,7 @@
 	}
 	s.policy = newSlotPolicy(s)
 	s.after(0, s.arrive)
-	for s.events.Len() > 0 {
-		e := heap.Pop(&s.events).(event)
-		s.now = e.at
-		e.run()
-	}
+	s.run()
 	return s.result()
 }
 
--- a/internal/jyproxy/attempt.go
+++ b/internal/jyproxy/attempt.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/jackdawyard/jackdawyard/internal/jybackend"
@@ -23,7 +22,6 @@
 	cancel    context.CancelFunc // of the copy that is answered
 	wasSent   bool
 	overdue   *time.Timer // ends what the server's silence tells; nil where nothing is usual yet
-	wasSilent atomic.Bool
 }
 
 // server returns the backend server that was chosen.
@@ -111,7 +109,6 @@
 		return
 	}
 	a.overdue = time.AfterFunc(patience, func() {
-		a.wasSilent.Store(true)
 		service.NoteSilence(a.server())
 		a.request.logSilence(a.placement, time.Since(a.started))
 	})
@@ -147,7 +144,7 @@
 	a.server().Pool.Put(x.connection, time.Now())
 	service := a.request.match.Service
 	if matchesAny(service.NotRunMarks, resp) {
-		a.server().MarkFull(time.Now())
+		a.request.service.NoteShed(time.Now(), a.placement)
 		a.end(jybackend.Neutral)
 		return nil, &jyretry.Failure{CertainlyNotRun: true, Reason: jyoutcome.DeclaredNotRun}
 	}
@@ -200,7 +197,7 @@
 		a.overdue.Stop()
 	}
 	a.server().Release()
-	if a.request.service.Record(a.placement, r, time.Since(a.started), a.wasSilent.Load()) {
+	if a.request.service.Record(a.placement, r, time.Since(a.started)) {
 		a.forwarder.config.OnEvidence(a.request.match.Service.Name)
 	}
 }
--- a/pkg/jybelief/belief.go
+++ b/pkg/jybelief/belief.go
@@ -21,10 +21,23 @@
 	Gray Likelihood
 }
 
+// DefaultConfig returns a model of servers that turn gray for seconds at a time, three in ten at any moment.
+func DefaultConfig() Config {
+	return Config{
+		Onset:    0.05,
+		Recovery: 0.12,
+		Least:    0.001,
+		Well:     Likelihood{Answered: 0.976, FailedEarly: 0.00005, FailedLate: 0.012, Silent: 0.01},
+		Gray:     Likelihood{Answered: 0.15, FailedEarly: 0.55, FailedLate: 0.2, Silent: 0.1},
+	}
+}
+
 // Belief is the chance that a server is gray, as of a moment; the zero value knows nothing.
 type Belief struct {
 	gray float64
 	at   time.Time
+	// failed is when the server last failed a request early.
+	failed time.Time
 }
 
 // Prior returns the chance that a server of which nothing is known is gray.
@@ -55,12 +68,25 @@
 	return gray*c.Gray.fail() + (1-gray)*c.Well.fail()
 }
 
-// Observe returns the belief after a request that ended now.
-func (c Config) Observe(b Belief, now time.Time, o Outcome) Belief {
+// Observe returns the belief after a request that was sent and ended now. An answer to one that was sent before the server
+// failed another tells nothing: whether a server works on a request is settled at its start.
+func (c Config) Observe(b Belief, sent, now time.Time, o Outcome) Belief {
+	if b.IsOverruled(sent, o) {
+		return b
+	}
 	gray := c.GrayChance(b, now)
 	joint := gray * c.Gray[o]
 	if b.at.After(now) {
 		now = b.at
 	}
-	return Belief{gray: max(c.Least, joint/(joint+(1-gray)*c.Well[o])), at: now}
+	out := Belief{gray: max(c.Least, joint/(joint+(1-gray)*c.Well[o])), at: now, failed: b.failed}
+	if o == FailedEarly {
+		out.failed = now
+	}
+	return out
+}
+
+// IsOverruled reports whether an answer to a request sent then tells nothing, since the server has failed another.
+func (b Belief) IsOverruled(sent time.Time, o Outcome) bool {
+	return o == Answered && sent.Before(b.failed)
 }
--- a/pkg/jybelief/belief_test.go
+++ b/pkg/jybelief/belief_test.go
@@ -11,12 +11,12 @@
 	"github.com/jackdawyard/jackdawyard/pkg/jybelief"
 )
 
-var model = jybelief.Config{
-	Onset:    0.05,
-	Recovery: 0.12,
-	Well:     jybelief.Likelihood{jybelief.Answered: 0.976, jybelief.FailedEarly: 0.0005, jybelief.FailedLate: 0.012, jybelief.Silent: 0.01},
-	Gray:     jybelief.Likelihood{jybelief.Answered: 0.15, jybelief.FailedEarly: 0.55, jybelief.FailedLate: 0.2, jybelief.Silent: 0.1},
-}
+// model is the default without its floor, which a filter by small steps does not have.
+var model = func() jybelief.Config {
+	c := jybelief.DefaultConfig()
+	c.Least = 0
+	return c
+}()
 
 var start = time.Unix(1_000_000, 0)
 
@@ -48,7 +48,7 @@
 			n.advance(now)
 			o := jybelief.Outcome(rapid.IntRange(0, 3).Draw(t, "outcome"))
 			n.observe(o)
-			b = model.Observe(b, now, o)
+			b = model.Observe(b, now, now, o)
 			require.InDelta(t, n.gray, model.GrayChance(b, now), 0.001)
 		}
 	})
@@ -58,7 +58,7 @@
 	after := func(list ...jybelief.Outcome) float64 {
 		var b jybelief.Belief
 		for _, o := range list {
-			b = model.Observe(b, start, o)
+			b = model.Observe(b, start, start, o)
 		}
 		return model.GrayChance(b, start)
 	}
@@ -70,7 +70,7 @@
 }
 
 func TestSilenceLeadsBackToWhatIsUsual(t *testing.T) {
-	b := model.Observe(jybelief.Belief{}, start, jybelief.FailedEarly)
+	b := model.Observe(jybelief.Belief{}, start, start, jybelief.FailedEarly)
 	last := model.GrayChance(b, start)
 	for s := 1; s <= 60; s++ {
 		gray := model.GrayChance(b, start.Add(time.Duration(s)*time.Second))
@@ -81,7 +81,16 @@
 }
 
 func TestALateReportDoesNotTurnTimeBack(t *testing.T) {
-	b := model.Observe(jybelief.Belief{}, start, jybelief.Answered)
-	early := model.Observe(b, start.Add(-time.Second), jybelief.FailedEarly)
+	b := model.Observe(jybelief.Belief{}, start, start, jybelief.Answered)
+	early := model.Observe(b, start, start.Add(-time.Second), jybelief.FailedEarly)
 	assert.LessOrEqual(t, model.GrayChance(early, start), model.GrayChance(early, start.Add(-time.Minute)))
 }
+
+func TestAnAnswerToAnEarlierRequestDoesNotExcuseAFailure(t *testing.T) {
+	ms := func(n int) time.Time { return start.Add(time.Duration(n) * time.Millisecond) }
+	b := model.Observe(jybelief.Belief{}, ms(0), ms(300), jybelief.Answered)
+	failed := model.Observe(b, ms(305), ms(310), jybelief.FailedEarly)
+	assert.Equal(t, failed, model.Observe(failed, ms(200), ms(500), jybelief.Answered), "sent before the failure")
+	after := model.Observe(failed, ms(320), ms(620), jybelief.Answered)
+	assert.Less(t, model.GrayChance(after, ms(620)), model.GrayChance(failed, ms(620)), "sent after the failure")
+}
--- a/pkg/jyplace/coverage.go
+++ b/pkg/jyplace/coverage.go
@@ -18,6 +18,20 @@
 	Memory time.Duration
 }
 
+// DefaultCoverage returns a coverage that keeps the servers of a service in use while it fails about one request in twelve.
+func DefaultCoverage() CoverageConfig {
+	return CoverageConfig{
+		FailShare:   0.085,
+		MinFailures: 4,
+		Calm:        Cover{Share: 0.8, Lately: 1600 * time.Millisecond, MaxFailChance: 0.4},
+		Trouble: Cover{
+			Share: 1, Lately: 1200 * time.Millisecond, MaxFailChance: 0.5,
+			Doubted: 3 * time.Second, DoubtedRepeatable: 2 * time.Second,
+		},
+		Memory: 1500 * time.Millisecond,
+	}
+}
+
 // Cover is how many servers of a service must have got a request lately.
 type Cover struct {
 	Share float64
--- a/pkg/jyplace/place.go
+++ b/pkg/jyplace/place.go
@@ -9,6 +9,8 @@
 type Candidate struct {
 	// FailChance is the chance that the request fails there.
 	FailChance float64
+	// ShedChance is the chance that the server sheds the request, unworked.
+	ShedChance float64
 	// InFlight is the number of requests there, of all instances as far as known.
 	InFlight float64
 	Slots    int
@@ -16,6 +18,8 @@
 	Slowdown float64
 	// Distance is what the way there costs, as a share of a request's worth.
 	Distance float64
+	// Unused is how long the server has got no request, of any instance as far as known.
+	Unused time.Duration
 	// IsNew marks a server nearby that nobody has tried: it is tried soon, so that what was added is used.
 	IsNew bool
 	// IsDue marks a server that must be tried before those that are not due.
@@ -43,6 +47,9 @@
 // exploration is the part of a chance to fail that does not count where it is as likely as not: the answer is worth knowing.
 const exploration = 0.6
 
+// explorationTime is how long a server must have got no request for most of that: what was tried just now tells little more.
+const explorationTime = 500 * time.Millisecond
+
 // repetition is the part of a chance to fail that counts where another server may be tried.
 const repetition = 0.15
 
@@ -58,17 +65,22 @@
 	if c.IsNew && c.InFlight == 0 {
 		return 0
 	}
-	fail := c.FailChance * (1 - exploration*c.doubt())
+	fail := c.FailChance * (1 - exploration*c.doubt()*c.staleness())
 	if r.IsRepeatable {
 		fail *= repetition
 	}
-	served := (1 - fail) * (1 - late*(1-lateWorth))
+	served := (1 - c.ShedChance) * (1 - fail) * (1 - late*(1-lateWorth))
 	return 1 - served + c.Distance
 }
 
 // doubt returns how uncertain it is whether the request fails, from 0 to 1.
 func (c Candidate) doubt() float64 { return 4 * c.FailChance * (1 - c.FailChance) }
 
+// staleness returns how little is known of the server as it is now, from 0 to 1.
+func (c Candidate) staleness() float64 {
+	return -math.Expm1(-float64(c.Unused) / float64(explorationTime))
+}
+
 // latency returns how long the request is expected to take at the candidate.
 func (c Candidate) latency(r Request) time.Duration {
 	work := float64(r.Work) * c.Slowdown
--- a/pkg/jyplace/place_test.go
+++ b/pkg/jyplace/place_test.go
@@ -54,6 +54,7 @@
 	base := jyplace.Candidate{FailChance: 0.1, InFlight: 4, Slots: 4, Slowdown: 1}
 	tests := map[string]func(*jyplace.Candidate){
 		"a likelier failure":           func(c *jyplace.Candidate) { c.FailChance = 0.2 },
+		"a likelier shed":              func(c *jyplace.Candidate) { c.ShedChance = 0.2 },
 		"a longer queue":               func(c *jyplace.Candidate) { c.InFlight = 8 },
 		"a server that starts cold":    func(c *jyplace.Candidate) { c.Slowdown = 2 },
 		"a server that is far away":    func(c *jyplace.Candidate) { c.Distance = 0.025 },
--- /dev/null
+++ b/pkg/jyplace/room_test.go
@@ -0,0 +1,36 @@
+package jyplace_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"pgregory.net/rapid"
+
+	"github.com/jackdawyard/jackdawyard/pkg/jyplace"
+)
+
+func TestRoomFindsWhereServersShed(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		slots := rapid.IntRange(1, 4).Draw(t, "slots")
+		full := slots + rapid.IntRange(1, 12).Draw(t, "queue")
+		var room jyplace.Room
+		for range 400 {
+			load := rapid.IntRange(0, full+3).Draw(t, "load")
+			if load >= full {
+				room.Shed(load, slots)
+			} else {
+				room.Took(load, slots)
+			}
+		}
+		assert.Less(t, room.ShedChance(float64(full-2), slots), 0.35)
+		assert.Greater(t, room.ShedChance(float64(full+2), slots), 0.65)
+	})
+}
+
+func TestAServerThatShedsWithFreeSlotsSaysNothingOfTheOthers(t *testing.T) {
+	var room jyplace.Room
+	for range 100 {
+		room.Shed(1, 2)
+	}
+	assert.Less(t, room.ShedChance(2, 2), 0.01)
+}
