Count requests by route and cause, and show what is believed of servers

Cause: an on-call engineer could see that requests failed, not on which route or why, without reading every log; nor what an instance believed at the moment, how old its view of the store was, or how many retries were left.

Change: route_requests by route, outcome and cause (bounded), gauges for doubted servers, retries left and the age of the source; `status` names servers that are believed gray, its JSON all beliefs. The cause of a server error that is passed on is ServerError in the metrics as in the log. A scenario plays a gray server and reads both; it failed first (no such counter, then an empty cause).

--- a/internal/jycommand/status.go
+++ b/internal/jycommand/status.go
@@ -101,6 +101,12 @@
 		fmt.Fprintf(w, "%s: peer %s holds other content under the same number\n", s.Instance, address)
 	}
 	for _, v := range s.Services {
+		for _, b := range v.Beliefs {
+			if b.Doubted {
+				fmt.Fprintf(w, "%s: %s %s is believed gray (chance %.3f), load %d, unused for %.1f s\n",
+					s.Instance, v.Service, b.Server, b.GrayChance, b.Load, b.UnusedSeconds)
+			}
+		}
 		for _, b := range v.Servers {
 			fmt.Fprintf(w, "%s: %s %s is %s by %s, cause %s, score %.1f, %.0f s left; %d of %d slots in use, floor %d\n",
 				s.Instance, v.Service, b.Server, b.Phase, b.By, b.Cause, b.Score, b.RemainingSeconds, v.UsableSlots, v.AllSlots, v.Floor)
--- a/internal/jydiscovery/discovery.go
+++ b/internal/jydiscovery/discovery.go
@@ -47,6 +47,7 @@
 	configuration *Configuration
 	changes       uint64
 	away          bool
+	heard         time.Time // when the store answered last
 }
 
 // New returns a discovery that knows nothing.
@@ -175,6 +176,17 @@
 		jylog.PlatformReachable.Log()
 	}
 	d.away = false
+	d.heard = time.Now()
+}
+
+// Age returns how long ago the store answered last, or 0 if it never did.
+func (d *Discovery) Age() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.heard.IsZero() {
+		return 0
+	}
+	return time.Since(d.heard)
 }
 
 // adopt takes a configuration, unless it is not newer than the one in force.
--- a/internal/jymetric/metrics.go
+++ b/internal/jymetric/metrics.go
@@ -23,6 +23,30 @@
 	handler  http.Handler
 	mu       sync.RWMutex
 	requests map[requestKey]requestMetrics
+	routes   map[routeKey]tally.Counter
+}
+
+// Ended is a request that has ended.
+type Ended struct {
+	Route   jynote.RouteName
+	Service jynote.ServiceName
+	Outcome jyoutcome.Outcome
+	// Cause is empty for a complete answer.
+	Cause   jyoutcome.Reason
+	Status  int
+	Latency time.Duration
+}
+
+// maxRouteCounters bounds the counters by route; what goes beyond counts under otherRoute.
+const (
+	maxRouteCounters = 6000
+	otherRoute       = "other"
+)
+
+type routeKey struct {
+	route   jynote.RouteName
+	outcome jyoutcome.Outcome
+	cause   jyoutcome.Reason
 }
 
 type requestKey struct {
@@ -43,7 +67,7 @@
 		Prefix: "jackdawyard", CachedReporter: reporter, Separator: prometheus.DefaultSeparator,
 		SanitizeOptions: &prometheus.DefaultSanitizerOpts,
 	}, flushInterval)
-	return &Metrics{scope: scope, closer: closer, handler: reporter.HTTPHandler(), requests: map[requestKey]requestMetrics{}}
+	return &Metrics{scope: scope, closer: closer, handler: reporter.HTTPHandler(), requests: map[requestKey]requestMetrics{}, routes: map[routeKey]tally.Counter{}}
 }
 
 // Handler shows the metrics.
@@ -52,11 +76,32 @@
 // Close flushes the metrics.
 func (m *Metrics) Close() error { return m.closer.Close() }
 
-// Request counts a request's outcome and latency.
-func (m *Metrics) Request(s jynote.ServiceName, o jyoutcome.Outcome, latency time.Duration) {
-	r := m.request(requestKey{s, o})
+// Request counts a request's outcome and latency by service, and its outcome and cause by route.
+func (m *Metrics) Request(e Ended) {
+	r := m.request(requestKey{e.Service, e.Outcome})
 	r.count.Inc(1)
-	r.latency.RecordDuration(latency)
+	r.latency.RecordDuration(e.Latency)
+	m.route(routeKey{e.Route, e.Outcome, e.Cause}).Inc(1)
+}
+
+func (m *Metrics) route(k routeKey) tally.Counter {
+	m.mu.RLock()
+	c, ok := m.routes[k]
+	full := len(m.routes) >= maxRouteCounters
+	m.mu.RUnlock()
+	if ok {
+		return c
+	}
+	if full && k.route != otherRoute {
+		return m.route(routeKey{otherRoute, k.outcome, k.cause})
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	c = m.scope.Tagged(map[string]string{
+		"route": string(k.route), "outcome": string(k.outcome), "cause": string(k.cause),
+	}).Counter("route_requests")
+	m.routes[k] = c
+	return c
 }
 
 func (m *Metrics) request(k requestKey) requestMetrics {
--- a/internal/jynode/gauges.go
+++ b/internal/jynode/gauges.go
@@ -28,15 +28,31 @@
 
 func (g gauges) set() {
 	n := g.node
-	open, usable := 0, 0
+	open, usable, doubted, retries := 0, 0, 0, 0.0
+	now := time.Now()
 	for _, v := range n.directory.Snapshot().Services() {
 		usable += v.Capacity().UsableSlots
+		retries += v.RetriesLeft(now)
+		for _, o := range v.Outlooks(now) {
+			if o.IsDoubted {
+				doubted++
+			}
+		}
 		for _, s := range v.Servers {
 			open += s.Pool.OpenCount()
 		}
 	}
+	status := n.source.Status()
+	away := 0
+	if status.ServiceAway {
+		away = 1
+	}
+	n.metrics.Gauge("source_age_seconds", status.AgeSeconds)
+	n.metrics.Gauge("retries_left", retries)
 	for name, value := range map[string]int{
 		"release_number":     int(n.source.Mark().Number),
+		"source_away":        away,
+		"servers_doubted":    doubted,
 		"working_instances":  n.fleet.WorkingCount(),
 		"request_ids":        n.requestIDs().Records,
 		"in_progress":        int(n.proxy.InProgress()),
--- a/internal/jynode/source.go
+++ b/internal/jynode/source.go
@@ -33,7 +33,7 @@
 
 // Status returns what an operator sees.
 func (s storeSource) Status() jyrelease.Status {
-	return jyrelease.Status{Number: s.Number(), ServiceAway: s.IsAway()}
+	return jyrelease.Status{Number: s.Number(), ServiceAway: s.IsAway(), AgeSeconds: s.Age().Seconds()}
 }
 
 func (n *Node) makeDiscovery() {
--- a/internal/jynode/status.go
+++ b/internal/jynode/status.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/jackdawyard/jackdawyard/internal/jybackend"
 	"github.com/jackdawyard/jackdawyard/internal/jyledger"
 	"github.com/jackdawyard/jackdawyard/internal/jyrelease"
 	"github.com/jackdawyard/jackdawyard/pkg/jydetector"
@@ -38,6 +39,19 @@
 	// Readmitted is the number of servers in use in spite of their standing, to hold the floor.
 	Readmitted int
 	Servers    []ServerStatus `json:",omitempty"`
+	// Beliefs holds the servers that are chosen by expected loss.
+	Beliefs []BeliefStatus `json:",omitempty"`
+	// RetriesLeft is what the retry budget allows this instance at once.
+	RetriesLeft float64
+}
+
+// BeliefStatus is what an instance believes of a backend server at this moment.
+type BeliefStatus struct {
+	Server        jynote.ServerName
+	GrayChance    float64
+	Load          int
+	UnusedSeconds float64
+	Doubted       bool
 }
 
 // ServerStatus is a backend server that is not in full use.
@@ -66,11 +80,24 @@
 		fleet, local := v.Verdicts()
 		s.Servers = append(s.Servers, serverStatus(fleet, "Fleet")...)
 		s.Servers = append(s.Servers, serverStatus(local, "Local")...)
+		now := time.Now()
+		s.RetriesLeft = v.RetriesLeft(now)
+		s.Beliefs = beliefStatus(v.Outlooks(now))
 		out.Services = append(out.Services, s)
 	}
 	return out
 }
 
+func beliefStatus(list []jybackend.Outlook) []BeliefStatus {
+	out := make([]BeliefStatus, 0, len(list))
+	for _, o := range list {
+		out = append(out, BeliefStatus{
+			Server: o.Server, GrayChance: jybackend.Rounded(o.GrayChance), Load: o.Load, UnusedSeconds: o.Unused.Seconds(), Doubted: o.IsDoubted,
+		})
+	}
+	return out
+}
+
 func serverStatus(list []jydetector.Verdict, by string) []ServerStatus {
 	out := make([]ServerStatus, 0, len(list))
 	for _, v := range list {
--- a/internal/jyproxy/log.go
+++ b/internal/jyproxy/log.go
@@ -43,7 +43,7 @@
 		jylog.RequestServed.LogAtMost(servedLines, r.id(), route, service, nameOf(p), status, r.attempts, r.milliseconds(),
 			jybackend.Rounded(p.FailChance), p.Load, r.state.Number, r.state.Revision)
 	default:
-		jylog.RequestFailed.LogAtMost(decidedLines, r.id(), route, service, cmp.Or(reason, jyoutcome.ServerError), status, r.attempts,
+		jylog.RequestFailed.LogAtMost(decidedLines, r.id(), route, service, reason, status, r.attempts,
 			r.milliseconds(), nameOf(p), jybackend.Rounded(p.FailChance), p.Load, r.state.Number, r.state.Revision)
 	}
 }
--- a/internal/jyproxy/proxy.go
+++ b/internal/jyproxy/proxy.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/jackdawyard/jackdawyard/internal/jybackend"
+	"github.com/jackdawyard/jackdawyard/internal/jymetric"
 	"github.com/jackdawyard/jackdawyard/pkg/jydedup"
 	"github.com/jackdawyard/jackdawyard/pkg/jynote"
 	"github.com/jackdawyard/jackdawyard/pkg/jyoutcome"
@@ -23,7 +24,7 @@
 
 // Recorder takes the outcome of each request for the report on service-level burn.
 type Recorder interface {
-	Record(service jynote.ServiceName, o jyoutcome.Outcome, status int, latency time.Duration)
+	Record(e jymetric.Ended)
 }
 
 // Config sets up a Proxy.
@@ -186,8 +187,13 @@
 }
 
 func (p *Proxy) record(r *request, o jyoutcome.Outcome, reason jyoutcome.Reason, status int) {
+	if o == jyoutcome.Complete && status >= http.StatusInternalServerError {
+		reason = jyoutcome.ServerError
+	}
 	r.logEnd(o, reason, status)
-	p.config.Recorder.Record(r.match.Service.Name, o, status, time.Since(r.arrived))
+	p.config.Recorder.Record(jymetric.Ended{
+		Route: r.match.Route.Name, Service: r.match.Service.Name, Outcome: o, Cause: reason, Status: status, Latency: time.Since(r.arrived),
+	})
 }
 
 func (p *Proxy) serveIdentified(ctx context.Context, w http.ResponseWriter, r *request, key string) {
--- a/internal/jyproxy/proxy_test.go
+++ b/internal/jyproxy/proxy_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/jackdawyard/jackdawyard/internal/jybackend"
 	"github.com/jackdawyard/jackdawyard/internal/jyledger"
+	"github.com/jackdawyard/jackdawyard/internal/jymetric"
 	"github.com/jackdawyard/jackdawyard/internal/jyproxy"
 	"github.com/jackdawyard/jackdawyard/pkg/jyblock"
 	"github.com/jackdawyard/jackdawyard/pkg/jydedup"
@@ -25,11 +26,11 @@
 // nothing stands in for what a lone instance does not need.
 type nothing struct{}
 
-func (nothing) Record(jynote.ServiceName, jyoutcome.Outcome, int, time.Duration) {}
-func (nothing) IsEmpty() bool                                                    { return true }
-func (nothing) IsBlocked(jyblock.Fingerprint) bool                               { return false }
-func (nothing) Completed(jyblock.Fingerprint)                                    {}
-func (nothing) Crashed(jyblock.Fingerprint, jyblock.ServerName, bool)            {}
+func (nothing) Record(jymetric.Ended)                                 {}
+func (nothing) IsEmpty() bool                                         { return true }
+func (nothing) IsBlocked(jyblock.Fingerprint) bool                    { return false }
+func (nothing) Completed(jyblock.Fingerprint)                         {}
+func (nothing) Crashed(jyblock.Fingerprint, jyblock.ServerName, bool) {}
 func (nothing) Relay(context.Context, jyproxy.Relay) (jydedup.Result, error) {
 	return jydedup.Result{}, io.ErrUnexpectedEOF
 }
--- a/internal/jyrelease/release.go
+++ b/internal/jyrelease/release.go
@@ -110,6 +110,8 @@
 	// PeerConflicts names peers that hold other content under the same number.
 	PeerConflicts []string
 	ServiceAway   bool
+	// AgeSeconds is how long ago the source answered last, 0 where that is not followed.
+	AgeSeconds float64 `json:",omitempty"`
 }
 
 // Status returns what an operator sees.
--- a/internal/jyreport/burn.go
+++ b/internal/jyreport/burn.go
@@ -26,20 +26,20 @@
 }
 
 // Record counts one request.
-func (b *Burn) Record(service jynote.ServiceName, o jyoutcome.Outcome, status int, latency time.Duration) {
-	b.metrics.Request(service, o, latency)
-	v := b.directory.Snapshot().Service(service)
+func (b *Burn) Record(e jymetric.Ended) {
+	b.metrics.Request(e)
+	v := b.directory.Snapshot().Service(e.Service)
 	if v == nil {
 		return
 	}
 	limit := time.Duration(v.Info.Objective.LatencyMilliseconds) * time.Millisecond
-	good := o == jyoutcome.Complete && status < http.StatusInternalServerError && latency <= limit
+	good := e.Outcome == jyoutcome.Complete && e.Status < http.StatusInternalServerError && e.Latency <= limit
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	m := b.meters[service]
+	m := b.meters[e.Service]
 	if m == nil {
 		m = &jyburn.Meter{}
-		b.meters[service] = m
+		b.meters[e.Service] = m
 	}
 	m.Add(time.Now(), good)
 }
--- a/pkg/jyretry/budget.go
+++ b/pkg/jyretry/budget.go
@@ -62,10 +62,15 @@
 	return true
 }
 
+// Left returns the number of retries that are allowed at once.
+func (b *Budget) Left(now time.Time) float64 {
+	b.fill(now)
+	return b.tokens
+}
+
 // IsAmple reports whether at least half of what may be saved up is left, so that risks can be taken.
 func (b *Budget) IsAmple(now time.Time) bool {
-	b.fill(now)
-	return b.tokens >= max(1, b.limit/2)
+	return b.Left(now) >= max(1, b.limit/2)
 }
 
 // fill adds what the slack allows for the time since the last call.
--- a/scenario/platform_test.go
+++ b/scenario/platform_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -279,3 +280,33 @@
 	require.NoError(t, a.Err)
 	assert.Equal(t, "answer to "+a.ID, a.Body, "others are served")
 }
+
+func TestStatusAndMetricsShowWhyRequestsFail(t *testing.T) {
+	server := jyhoststandin.NewServer("i-1", "s1")
+	h := startHosted(t, server)
+	server.SetFault(jyhoststandin.Errors)
+	for range 3 {
+		require.NoError(t, h.ask(http.MethodPost, "/unsafe/x").Err)
+	}
+	status, err := exec.Command(program, "status", "--instances", h.ready).CombinedOutput()
+	require.NoError(t, err)
+	assert.Contains(t, string(status), "s1 i-1-")
+	assert.Contains(t, string(status), "is believed gray")
+	h.eventually(func() bool {
+		return strings.Contains(h.get("/metrics"), `route_requests{cause="ServerError",outcome="Complete",route="`)
+	})
+	h.eventually(func() bool { return strings.Contains(h.get("/metrics"), "jackdawyard_servers_doubted 1") })
+	assert.Contains(t, h.get("/metrics"), "jackdawyard_source_age_seconds")
+}
+
+// get returns a page of the operator's address, empty where there is none.
+func (h *hosted) get(path string) string {
+	resp, err := http.Get("http://" + h.ready + path)
+	if err != nil {
+		return ""
+	}
+	defer func() { assert.NoError(h.t, resp.Body.Close()) }()
+	body, err := io.ReadAll(resp.Body)
+	assert.NoError(h.t, err)
+	return string(body)
+}
