--- a/internal/jycommand/main.go
+++ b/internal/jycommand/main.go
@@ -56,7 +56,7 @@
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 		Commands: []*cli.Command{
 			serveCommand(), checkCommand(), statusCommand(), reportCommand(), standinCommand(),
-			explainCommand(), loadCommand(), experimentCommand(), demoCommand(), documentCommand(), versionCommand(),
+			explainCommand(), loadCommand(), soakCommand(), experimentCommand(), demoCommand(), documentCommand(), versionCommand(),
 		},
 	}
 }
--- /dev/null
+++ b/internal/jycommand/soak.go
@@ -0,0 +1,73 @@
+package jycommand
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/jackdawyard/jackdawyard/internal/jysoak"
+)
+
+var errBroken = errors.New("a promise was broken")
+
+func soakCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "soak",
+		Usage: "run instances as processes under random faults, and check the promises from outside",
+		Flags: []cli.Flag{
+			&cli.Uint64Flag{Name: "seed", Value: 1},
+			&cli.FloatFlag{Name: "minutes", Value: 0.5, Usage: "how long faults come; 18 seconds of calm follow"},
+			&cli.IntFlag{Name: "instances", Value: 4},
+			&cli.IntFlag{Name: "servers", Value: 4, Usage: "of each of two services"},
+			&cli.FloatFlag{Name: "rate", Value: 60, Usage: "requests a second"},
+			&cli.StringFlag{Name: "keep", Usage: "folder for settings and logs, which stay there"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			program, err := os.Executable()
+			if err != nil {
+				return err
+			}
+			folder := c.String("keep")
+			if folder == "" {
+				if folder, err = os.MkdirTemp("", "jackdawyard-soak"); err != nil {
+					return err
+				}
+				defer func() { _ = os.RemoveAll(folder) }()
+			} else if err := os.MkdirAll(folder, 0o700); err != nil {
+				return err
+			}
+			record, err := jysoak.Run(ctx, jysoak.Config{
+				Program: program, Folder: folder, Seed: c.Uint64("seed"), Faults: time.Duration(c.Float("minutes") * float64(time.Minute)),
+				Instances: int(c.Int("instances")), Servers: int(c.Int("servers")), Rate: c.Float("rate"),
+			})
+			if err != nil {
+				return err
+			}
+			return printSoak(c, record)
+		},
+	}
+}
+
+func printSoak(c *cli.Command, r jysoak.Record) error {
+	w := c.Root().Writer
+	byStatus := map[int]int{}
+	for _, a := range r.Asked {
+		byStatus[a.Status]++
+	}
+	fmt.Fprintf(w, "seed %d: %d steps, %d requests, %d runs; by status %v (0: no answer)\n", c.Uint64("seed"), len(r.Plan), len(r.Asked), len(r.Ran), byStatus)
+	broken := jysoak.Check(r)
+	if len(broken) == 0 {
+		return nil
+	}
+	for _, s := range r.Plan {
+		fmt.Fprintln(w, s)
+	}
+	for _, v := range broken {
+		fmt.Fprintf(w, "BROKEN %s: %s\n", v.Promise, v.Detail)
+	}
+	return errBroken
+}
--- /dev/null
+++ b/internal/jysoak/main_test.go
@@ -0,0 +1,9 @@
+package jysoak_test
+
+import (
+	"testing"
+
+	"github.com/jackdawyard/jackdawyard/internal/jytest"
+)
+
+func TestMain(m *testing.M) { jytest.Explore(m, jytest.Effort{Checks: 50}) }
--- /dev/null
+++ b/scenario/soak/soak_test.go
@@ -0,0 +1,48 @@
+// Package soak_test runs the fault soak with kept seeds.
+package soak_test
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+)
+
+var program string
+
+func TestMain(m *testing.M) { os.Exit(run(m)) }
+
+func run(m *testing.M) int {
+	folder, err := os.MkdirTemp("", "jackdawyard-soak-test")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(folder) }()
+	program = filepath.Join(folder, "jackdawyard")
+	if out, err := exec.Command("go", "build", "-o", program, "../..").CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "%v: %s\n", err, out)
+		return 1
+	}
+	return m.Run()
+}
+
+func TestNoPromiseIsBrokenUnderFaults(t *testing.T) {
+	tests := map[string]struct {
+		seed string
+		// cause says what the seed found when it failed first.
+		cause string
+	}{
+		"kills, pauses, silent links and an older version": {seed: "17"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			out, err := exec.Command(program, "--quiet", "soak", "--seed", tt.seed, "--minutes", "0.15").CombinedOutput()
+			assert.NoError(t, err, "%s%s", tt.cause, out)
+		})
+	}
+}
