Let one instance a data centre read the store, and the others hear from it

Change: the first instance of a data centre by rendezvous hash follows the store, with a proof at least each 0.9 s; the others follow it with calls that wait for a change or the next proof, and take over its changes by the store's own revisions, so that they can go on at the store at any time. One that has no proof younger than 1.4 s (the contract leaves 2 s), whose reader cannot read, or has lost the history, asks the store itself at once, and its reader again after 3 s. What is told by an instance that cannot read counts for nothing.

Tested in virtual time for each way a reader can fail, at ten phases, and for a server that lapses in a short outage. Mutants: an age of 30 s, and readers that do not tell that the store is away, are caught. A first form of the test failed now and then: the fake store let a waiting watch end without a change that it held, and calls under way did not hang with their reader; both are as they should be now, and all cases assert.

--- a/internal/jydiscovery/discovery.go
+++ b/internal/jydiscovery/discovery.go
@@ -18,6 +18,8 @@
 	Store Store
 	// WatchWait is how long one watch waits for a change.
 	WatchWait time.Duration
+	// Feeder returns the instance to hear from in place of the store; nil, or none, is the store itself.
+	Feeder func() (Feeder, bool)
 	// OnState is called with each state that comes into force, in order.
 	OnState func(jynote.State, []jyregistry.Server)
 }
@@ -33,6 +35,12 @@
 	retryInterval = 300 * time.Millisecond
 	// returnTime is how long a server that lapsed while the store was away may take to register again.
 	returnTime = 1600 * time.Millisecond
+	// feedAge is how old the proof may be that a feeder has told of all changes; beyond it the store is asked itself.
+	feedAge = 1400 * time.Millisecond
+	// feedInterval is the least time between the starts of two calls to a feeder.
+	feedInterval = 100 * time.Millisecond
+	// feedPause is how long the store is asked after a feeder failed.
+	feedPause = 3 * time.Second
 	// minWait is the shortest wait of a watch.
 	minWait = 50 * time.Millisecond
 )
@@ -41,6 +49,11 @@
 type Discovery struct {
 	config   Config
 	revision Revision // of the last answer; 0 asks for all
+	feed     *feed
+	// proven is when the store was last known to hold nothing newer than revision, and pausedUntil when a feeder is asked again.
+	proven      time.Time
+	pausedUntil time.Time
+	isFed       bool // the last answer came from a feeder
 
 	mu            sync.Mutex
 	registry      *jyregistry.Registry
@@ -52,7 +65,7 @@
 
 // New returns a discovery that knows nothing.
 func New(c Config) *Discovery {
-	return &Discovery{config: c, registry: jyregistry.New(jyregistry.Config{ReturnTime: returnTime})}
+	return &Discovery{config: c, feed: newFeed(), registry: jyregistry.New(jyregistry.Config{ReturnTime: returnTime})}
 }
 
 // IsReady reports whether a configuration is in force.
@@ -83,7 +96,11 @@
 			d.failed(ctx, err)
 			continue
 		}
-		jykernel.Wait(ctx, watchInterval-time.Since(started))
+		interval := watchInterval
+		if d.isFed {
+			interval = feedInterval
+		}
+		jykernel.Wait(ctx, interval-time.Since(started))
 	}
 	return nil
 }
@@ -102,6 +119,7 @@
 		jylog.PlatformUnreachable.Log(err)
 	}
 	d.away = true
+	d.feed.suspend()
 	d.registry.StoreAway()
 	d.mu.Unlock()
 	jykernel.Wait(ctx, time.Duration((0.5+rand.Float64())*float64(retryInterval)))
@@ -109,29 +127,42 @@
 
 // follow makes one call to the store and takes its answer.
 func (d *Discovery) follow(ctx context.Context) error {
+	d.isFed = false
 	if d.revision == 0 {
 		return d.read(ctx)
 	}
-	wait := d.wait()
+	if d.followFeeder(ctx) {
+		return nil
+	}
+	// Instances that follow this one need a proof at least each WatchWait.
+	wait := d.waitAtMost(d.config.WatchWait - time.Since(d.proven))
 	ctx, cancel := context.WithTimeout(ctx, wait+answerTime)
 	defer cancel()
 	c, err := d.config.Store.Watch(ctx, d.revision, wait)
 	if err != nil {
 		return err
 	}
+	d.proven = time.Now()
+	d.accept(c)
+	return nil
+}
+
+// accept takes changes, and remembers them for other instances.
+func (d *Discovery) accept(c Changes) {
 	d.revision = c.Revision
+	d.feed.add(c, d.proven)
 	d.take(c)
-	return nil
 }
 
-// wait is shorter while servers that lapsed may come back, so that those that do not are dropped in time.
-func (d *Discovery) wait() time.Duration {
+// waitAtMost returns how long to wait for a change: shorter while servers that lapsed may come back, so that those that do not
+// are dropped in time.
+func (d *Discovery) waitAtMost(most time.Duration) time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if left, lapsed := d.registry.UntilExpiry(time.Now()); lapsed {
-		return max(minWait, min(d.config.WatchWait, left))
+		most = min(most, left)
 	}
-	return d.config.WatchWait
+	return max(minWait, most)
 }
 
 func (d *Discovery) read(ctx context.Context) error {
@@ -143,6 +174,8 @@
 	}
 	d.revision = s.Revision
 	now := time.Now()
+	d.proven = now
+	d.feed.restart(s.Revision, now)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.answered()
--- a/internal/jydiscovery/discovery_test.go
+++ b/internal/jydiscovery/discovery_test.go
@@ -37,29 +37,40 @@
 }
 
 func (f *fakeStore) Watch(ctx context.Context, after jydiscovery.Revision, wait time.Duration) (jydiscovery.Changes, error) {
+	f.set(func(f *fakeStore) { f.watches++ })
+	const step = 10 * time.Millisecond
+	for left := wait; ; left -= step {
+		c, isOver, err := f.next()
+		if isOver {
+			return c, err
+		}
+		if left <= 0 {
+			return jydiscovery.Changes{Revision: after}, nil
+		}
+		select {
+		case <-ctx.Done():
+			return jydiscovery.Changes{}, jyfault.New("watch", jydiscovery.Unreachable, "%w", ctx.Err())
+		case <-time.After(step):
+		}
+	}
+}
+
+// next returns what ends a watch now, if anything does.
+func (f *fakeStore) next() (c jydiscovery.Changes, isOver bool, err error) {
 	f.mu.Lock()
-	f.watches++
+	defer f.mu.Unlock()
 	switch {
 	case f.away:
-		f.mu.Unlock()
-		return jydiscovery.Changes{}, jyfault.New("watch", jydiscovery.Unreachable, "away")
+		return c, true, jyfault.New("watch", jydiscovery.Unreachable, "away")
 	case f.compacted:
 		f.compacted = false
-		f.mu.Unlock()
-		return jydiscovery.Changes{}, jyfault.New("watch", jydiscovery.Compacted, "history is gone")
+		return c, true, jyfault.New("watch", jydiscovery.Compacted, "history is gone")
 	case len(f.changes) > 0:
-		c := f.changes[0]
+		c = f.changes[0]
 		f.changes = f.changes[1:]
-		f.mu.Unlock()
-		return c, nil
-	}
-	f.mu.Unlock()
-	select {
-	case <-ctx.Done():
-		return jydiscovery.Changes{}, jyfault.New("watch", jydiscovery.Unreachable, "%w", ctx.Err())
-	case <-time.After(wait):
-		return jydiscovery.Changes{Revision: after}, nil
+		return c, true, nil
 	}
+	return c, false, nil
 }
 
 func (f *fakeStore) set(change func(*fakeStore)) {
--- a/internal/jylog/catalogue.go
+++ b/internal/jylog/catalogue.go
@@ -30,6 +30,7 @@
 	PlatformReachable   = define(205, Info, "configuration service can be read again", "None.")
 	EntryUnreadable     = define(207, Alarm, "entry of the store cannot be read", "Look for who wrote it; it names no backend server.", "Key", "Revision", "Cause")
 	StateApplied        = define(208, Info, "configuration and servers in force", "None.", "Number", "Revision", "Servers")
+	FeederLeft          = define(209, Info, "instance does not tell of changes in time, the store is asked", "None, unless it goes on: look at the instance.", "Instance", "AgeMilliseconds", "Cause")
 	PeerDisagrees       = define(206, Alarm, "peer holds other content under the same number", "Publish a base note under the next number.", "Peer", "Number", "Digest", "PeerDigest")
 
 	ServerEjected   = define(300, Alarm, "backend server ejected", "Look at the backend server; it is tried again by itself.", "Service", "Server", "Cause", "Score")
--- a/internal/jynode/node.go
+++ b/internal/jynode/node.go
@@ -99,7 +99,7 @@
 	n.burn = jyreport.NewBurn(n.directory, n.metrics)
 	clients := jypeer.NewClients(credentials)
 	if n.followsStore() {
-		n.makeDiscovery()
+		n.makeDiscovery(clients)
 		n.makeFleet(clients, func(string, jypeer.Mark) {})
 		n.makeStoreProxy(clients)
 		if err := n.makeSignals(); err != nil {
--- a/internal/jynode/peer_handler.go
+++ b/internal/jynode/peer_handler.go
@@ -19,10 +19,12 @@
 	*jyevidence.Evidence
 	relay *jyrelay.Relay
 	block *jyrelay.Block
+	// follow answers instances that follow this one; nil where there is no store.
+	follow followed
 }
 
 func (n *Node) peerHandler() peerHandler {
-	return peerHandler{Fleet: n.fleet, Release: n.release, Evidence: n.evidence, relay: n.relay, block: n.block}
+	return peerHandler{Fleet: n.fleet, Release: n.release, Evidence: n.evidence, relay: n.relay, block: n.block, follow: n.followed()}
 }
 
 // Relay runs a request that a peer relayed.
--- a/internal/jynode/source.go
+++ b/internal/jynode/source.go
@@ -36,9 +36,9 @@
 	return jyrelease.Status{Number: s.Number(), ServiceAway: s.IsAway(), AgeSeconds: s.Age().Seconds()}
 }
 
-func (n *Node) makeDiscovery() {
+func (n *Node) makeDiscovery(clients *jypeer.Clients) {
 	n.source = storeSource{jydiscovery.New(jydiscovery.Config{
-		Store: jyhost.NewStore(n.settings.ConfigurationAddress), WatchWait: n.settings.WatchWait, OnState: n.applyRegistered,
+		Store: jyhost.NewStore(n.settings.ConfigurationAddress), WatchWait: n.settings.WatchWait, Feeder: n.feederFrom(clients), OnState: n.applyRegistered,
 	})}
 }
 
--- a/internal/jywire/jywireconnect/peer.connect.go
+++ b/internal/jywire/jywireconnect/peer.connect.go
@@ -52,6 +52,8 @@
 	PeerServiceTellProcedure = "/jackdawyard.peer.v1.PeerService/Tell"
 	// PeerServiceBlockProcedure is the fully-qualified name of the PeerService's Block RPC.
 	PeerServiceBlockProcedure = "/jackdawyard.peer.v1.PeerService/Block"
+	// PeerServiceFollowProcedure is the fully-qualified name of the PeerService's Follow RPC.
+	PeerServiceFollowProcedure = "/jackdawyard.peer.v1.PeerService/Follow"
 )
 
 // PeerServiceClient is a client for the jackdawyard.peer.v1.PeerService service.
@@ -74,6 +76,8 @@
 	Tell(context.Context, *connect.Request[jywire.TellRequest]) (*connect.Response[jywire.TellResponse], error)
 	// Block tells that a request ended backend servers that ran it.
 	Block(context.Context, *connect.Request[jywire.BlockRequest]) (*connect.Response[jywire.BlockResponse], error)
+	// Follow tells what changed in the store that the instances follow.
+	Follow(context.Context, *connect.Request[jywire.FollowRequest]) (*connect.Response[jywire.FollowResponse], error)
 }
 
 // NewPeerServiceClient constructs a client for the jackdawyard.peer.v1.PeerService service. By
@@ -141,6 +145,12 @@
 			connect.WithSchema(peerServiceMethods.ByName("Block")),
 			connect.WithClientOptions(opts...),
 		),
+		follow: connect.NewClient[jywire.FollowRequest, jywire.FollowResponse](
+			httpClient,
+			baseURL+PeerServiceFollowProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("Follow")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -155,6 +165,7 @@
 	handOver     *connect.Client[jywire.HandOverRequest, jywire.HandOverResponse]
 	tell         *connect.Client[jywire.TellRequest, jywire.TellResponse]
 	block        *connect.Client[jywire.BlockRequest, jywire.BlockResponse]
+	follow       *connect.Client[jywire.FollowRequest, jywire.FollowResponse]
 }
 
 // Heartbeat calls jackdawyard.peer.v1.PeerService.Heartbeat.
@@ -202,6 +213,11 @@
 	return c.block.CallUnary(ctx, req)
 }
 
+// Follow calls jackdawyard.peer.v1.PeerService.Follow.
+func (c *peerServiceClient) Follow(ctx context.Context, req *connect.Request[jywire.FollowRequest]) (*connect.Response[jywire.FollowResponse], error) {
+	return c.follow.CallUnary(ctx, req)
+}
+
 // PeerServiceHandler is an implementation of the jackdawyard.peer.v1.PeerService service.
 type PeerServiceHandler interface {
 	// Heartbeat shows life and exchanges membership news.
@@ -222,6 +238,8 @@
 	Tell(context.Context, *connect.Request[jywire.TellRequest]) (*connect.Response[jywire.TellResponse], error)
 	// Block tells that a request ended backend servers that ran it.
 	Block(context.Context, *connect.Request[jywire.BlockRequest]) (*connect.Response[jywire.BlockResponse], error)
+	// Follow tells what changed in the store that the instances follow.
+	Follow(context.Context, *connect.Request[jywire.FollowRequest]) (*connect.Response[jywire.FollowResponse], error)
 }
 
 // NewPeerServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -285,6 +303,12 @@
 		connect.WithSchema(peerServiceMethods.ByName("Block")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceFollowHandler := connect.NewUnaryHandler(
+		PeerServiceFollowProcedure,
+		svc.Follow,
+		connect.WithSchema(peerServiceMethods.ByName("Follow")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/jackdawyard.peer.v1.PeerService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerServiceHeartbeatProcedure:
@@ -305,6 +329,8 @@
 			peerServiceTellHandler.ServeHTTP(w, r)
 		case PeerServiceBlockProcedure:
 			peerServiceBlockHandler.ServeHTTP(w, r)
+		case PeerServiceFollowProcedure:
+			peerServiceFollowHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -349,3 +375,7 @@
 func (UnimplementedPeerServiceHandler) Block(context.Context, *connect.Request[jywire.BlockRequest]) (*connect.Response[jywire.BlockResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("jackdawyard.peer.v1.PeerService.Block is not implemented"))
 }
+
+func (UnimplementedPeerServiceHandler) Follow(context.Context, *connect.Request[jywire.FollowRequest]) (*connect.Response[jywire.FollowResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("jackdawyard.peer.v1.PeerService.Follow is not implemented"))
+}
