Leave queues that make answers late to others, and cover a few more servers while calm

Change: an answer beyond the objective counts as lost when a server is chosen, since it delays all behind it; servers that fail up to 0.46 of what they get are covered while calm, not 0.40.

--- a/pkg/jyplace/coverage.go
+++ b/pkg/jyplace/coverage.go
@@ -23,7 +23,7 @@
 	return CoverageConfig{
 		FailShare:   0.085,
 		MinFailures: 4,
-		Calm:        Cover{Share: 0.8, Lately: 1600 * time.Millisecond, MaxFailChance: 0.4},
+		Calm:        Cover{Share: 0.8, Lately: 1600 * time.Millisecond, MaxFailChance: 0.46},
 		Trouble: Cover{
 			Share: 1, Lately: 1200 * time.Millisecond, MaxFailChance: 0.5,
 			Doubted: 3 * time.Second, DoubtedRepeatable: 2 * time.Second,
--- a/pkg/jyplace/place.go
+++ b/pkg/jyplace/place.go
@@ -41,9 +41,6 @@
 // None is returned by Choose where all candidates are excluded.
 const None = -1
 
-// lateWorth is the share of its worth that an answer keeps beyond the objective.
-const lateWorth = 0.3
-
 // exploration is the part of a chance to fail that does not count where it is as likely as not: the answer is worth knowing.
 const exploration = 0.6
 
@@ -69,7 +66,8 @@
 	if r.IsRepeatable {
 		fail *= repetition
 	}
-	served := (1 - c.ShedChance) * (1 - fail) * (1 - late*(1-lateWorth))
+	// A late answer counts as lost, though it is worth something to its caller: what waits so long delays all behind it.
+	served := (1 - c.ShedChance) * (1 - fail) * (1 - late)
 	return 1 - served + c.Distance
 }
 
--- a/pkg/jyplace/place_test.go
+++ b/pkg/jyplace/place_test.go
@@ -88,3 +88,14 @@
 	c.InFlight = 1
 	assert.Positive(t, c.Loss(request))
 }
+
+func TestARequestThatWouldComeLateLeavesTheQueueToOthers(t *testing.T) {
+	list := []jyplace.Candidate{
+		{FailChance: 0.02, InFlight: 40, Slots: 4, Slowdown: 1},
+		{FailChance: 0.8, Slots: 4, Slowdown: 1},
+	}
+	at := func(i int) jyplace.Candidate { return list[i] }
+	assert.Equal(t, 1, jyplace.Choose(len(list), at, request, noJitter))
+	list[0].InFlight = 6
+	assert.Equal(t, 0, jyplace.Choose(len(list), at, request, noJitter))
+}
