Give each soak a loopback number of its own

Ruled out: the product: the requests went to a port that it did not hold.

Nothing of the product changed.

--- a/internal/jysoak/instance.go
+++ b/internal/jysoak/instance.go
@@ -43,14 +43,17 @@
 // addresses are those of one instance: for callers, peers and the operator.
 type addresses struct{ caller, peer, operator string }
 
+// freeAddresses returns addresses on a loopback number of this process: while an instance is down, no other program on the
+// machine may answer at its port.
 func freeAddresses() (addresses, error) {
+	host := fmt.Sprintf("127.1.%d.%d", os.Getpid()>>8&0xff, os.Getpid()&0xff)
 	var list [3]string
 	for i := range list {
 		address, err := jystandin.FreeAddress()
 		if err != nil {
 			return addresses{}, jyfault.New("find addresses", NotStarted, "%w", err)
 		}
-		list[i] = address
+		list[i] = strings.Replace(address, "127.0.0.1", host, 1)
 	}
 	return addresses{caller: list[0], peer: list[1], operator: list[2]}, nil
 }
