Count the way of an answer to the age of a feeder's proof

Cause: an instance that hears from another took the age in the answer as of its arrival: an answer that was half a second under way, or that waited while the process was paused, looked as fresh as at its departure. Found by reading.

Ruled out: the age as of the call's start, with the age at departure: a call that waits for the next proof would look nearly a second too old.

Change: the answer says when the proof was made, counted from the arrival of the call, which is not before the call. When the store was heard of is kept once, in the feed. A test in virtual time with answers half a second under way failed first (ages from 0 s on, now 0.5 s at least, the store is left alone).

--- a/internal/jydiscovery/discovery.go
+++ b/internal/jydiscovery/discovery.go
@@ -50,17 +50,14 @@
 	config   Config
 	revision Revision // of the last answer; 0 asks for all
 	feed     *feed
-	// proven is when the store was last known to hold nothing newer than revision, and pausedUntil when a feeder is asked again.
-	proven      time.Time
+	// pausedUntil is when a feeder is asked again.
 	pausedUntil time.Time
-	isFed       bool // the last answer came from a feeder
 
 	mu            sync.Mutex
 	registry      *jyregistry.Registry
 	configuration *Configuration
 	changes       uint64
 	away          bool
-	heard         time.Time // when the store answered last
 }
 
 // New returns a discovery that knows nothing.
@@ -92,14 +89,11 @@
 func (d *Discovery) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		started := time.Now()
-		if err := d.follow(ctx); err != nil {
+		interval, err := d.follow(ctx)
+		if err != nil {
 			d.failed(ctx, err)
 			continue
 		}
-		interval := watchInterval
-		if d.isFed {
-			interval = feedInterval
-		}
 		jykernel.Wait(ctx, interval-time.Since(started))
 	}
 	return nil
@@ -125,32 +119,35 @@
 	jykernel.Wait(ctx, time.Duration((0.5+rand.Float64())*float64(retryInterval)))
 }
 
-// follow makes one call to the store and takes its answer.
-func (d *Discovery) follow(ctx context.Context) error {
-	d.isFed = false
+// follow makes one call, to the store or to the instance that feeds this one, takes its answer, and returns the least time to
+// the next call.
+func (d *Discovery) follow(ctx context.Context) (time.Duration, error) {
 	if d.revision == 0 {
-		return d.read(ctx)
+		return watchInterval, d.read(ctx)
 	}
 	if d.followFeeder(ctx) {
-		return nil
+		return feedInterval, nil
 	}
+	return watchInterval, d.watch(ctx)
+}
+
+func (d *Discovery) watch(ctx context.Context) error {
 	// Instances that follow this one need a proof at least each WatchWait.
-	wait := d.waitAtMost(d.config.WatchWait - time.Since(d.proven))
+	wait := d.waitAtMost(d.config.WatchWait - d.Age())
 	ctx, cancel := context.WithTimeout(ctx, wait+answerTime)
 	defer cancel()
 	c, err := d.config.Store.Watch(ctx, d.revision, wait)
 	if err != nil {
 		return err
 	}
-	d.proven = time.Now()
-	d.accept(c)
+	d.accept(c, time.Now())
 	return nil
 }
 
-// accept takes changes, and remembers them for other instances.
-func (d *Discovery) accept(c Changes) {
+// accept takes changes that were proven to be all, and remembers them for other instances.
+func (d *Discovery) accept(c Changes, proven time.Time) {
 	d.revision = c.Revision
-	d.feed.add(c, d.proven)
+	d.feed.add(c, proven)
 	d.take(c)
 }
 
@@ -174,7 +171,6 @@
 	}
 	d.revision = s.Revision
 	now := time.Now()
-	d.proven = now
 	d.feed.restart(s.Revision, now)
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -209,17 +205,15 @@
 		jylog.PlatformReachable.Log()
 	}
 	d.away = false
-	d.heard = time.Now()
 }
 
-// Age returns how long ago the store answered last, or 0 if it never did.
+// Age returns how long ago the store was known to hold nothing newer, or 0 if it never was.
 func (d *Discovery) Age() time.Duration {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.heard.IsZero() {
+	proven := d.feed.provenAt()
+	if proven.IsZero() {
 		return 0
 	}
-	return time.Since(d.heard)
+	return time.Since(proven)
 }
 
 // adopt takes a configuration, unless it is not newer than the one in force.
--- a/internal/jydiscovery/feed.go
+++ b/internal/jydiscovery/feed.go
@@ -54,7 +54,10 @@
 
 // prove wakes those that wait; the caller holds mu.
 func (f *feed) prove(proven time.Time) {
-	f.proven, f.away = proven, false
+	if proven.After(f.proven) {
+		f.proven = proven
+	}
+	f.away = false
 	f.wake()
 }
 
@@ -72,27 +75,25 @@
 	f.news = make(chan struct{})
 }
 
-// since returns the changes after a revision, and how long ago they were proven to be all: at once if there are some, else
-// with the next proof or after the wait. Its error is of kind Compacted where they are not remembered, Unreachable where the
-// store cannot be read.
-func (f *feed) since(ctx context.Context, after Revision, wait time.Duration) (Changes, time.Duration, error) {
+// provenAt returns when the store was last known to hold nothing newer, the zero time if it never was.
+func (f *feed) provenAt() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.proven
+}
+
+// since returns the changes after a revision, and when they were proven to be all: at once if there are some, else with the
+// next proof or after the wait. Its error is of kind Compacted where they are not remembered, Unreachable where the store
+// cannot be read.
+func (f *feed) since(ctx context.Context, after Revision, wait time.Duration) (Changes, time.Time, error) {
+	f.await(ctx, after, wait)
 	f.mu.Lock()
-	news := f.news
-	if f.last <= after && f.base != 0 && !f.away {
-		f.mu.Unlock()
-		select {
-		case <-ctx.Done():
-		case <-time.After(wait):
-		case <-news:
-		}
-		f.mu.Lock()
-	}
 	defer f.mu.Unlock()
 	if f.away {
-		return Changes{}, 0, jyfault.New("follow instance", Unreachable, "the store cannot be read there")
+		return Changes{}, time.Time{}, jyfault.New("follow instance", Unreachable, "the store cannot be read there")
 	}
 	if f.base == 0 || after < f.base {
-		return Changes{}, 0, jyfault.New("follow instance", Compacted, "changes since %d are not remembered", after)
+		return Changes{}, time.Time{}, jyfault.New("follow instance", Compacted, "changes since %d are not remembered", after)
 	}
 	out := Changes{Revision: max(after, f.last)}
 	for _, c := range f.changes {
@@ -100,7 +101,22 @@
 			out.add(c)
 		}
 	}
-	return out, time.Since(f.proven), nil
+	return out, f.proven, nil
+}
+
+// await returns with the next proof or after the wait; at once where that would tell nothing.
+func (f *feed) await(ctx context.Context, after Revision, wait time.Duration) {
+	f.mu.Lock()
+	news, tellsNothing := f.news, f.last > after || f.base == 0 || f.away
+	f.mu.Unlock()
+	if tellsNothing {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(wait):
+	case <-news:
+	}
 }
 
 func (c Changes) isEmpty() bool {
--- a/internal/jydiscovery/feeder_test.go
+++ b/internal/jydiscovery/feeder_test.go
@@ -26,12 +26,12 @@
 func (r *reader) Name() string { return "reader" }
 
 func (r *reader) Follow(ctx context.Context, after jydiscovery.Revision, wait time.Duration) (jydiscovery.Changes, time.Duration, error) {
-	c, age, err := r.Discovery.Follow(ctx, after, wait)
+	c, proof, err := r.Discovery.Follow(ctx, after, wait)
 	if r.isStopped.Load() {
 		<-ctx.Done()
 		return jydiscovery.Changes{}, 0, ctx.Err()
 	}
-	return c, age, err
+	return c, proof, err
 }
 
 // pair is a reader and an instance that follows it, each with its own way to the store.
@@ -125,3 +125,38 @@
 		assert.Empty(t, names(*p.last.Load()))
 	})
 }
+
+// slowWay is a feeder whose answers, as of the arrival of the call, are under way for a time.
+type slowWay time.Duration
+
+func (slowWay) Name() string { return "reader" }
+
+func (w slowWay) Follow(_ context.Context, after jydiscovery.Revision, _ time.Duration) (jydiscovery.Changes, time.Duration, error) {
+	time.Sleep(time.Duration(w))
+	return jydiscovery.Changes{Revision: after}, 0, nil
+}
+
+func TestTheTimeThatAnAnswerIsUnderWayCountsToItsAge(t *testing.T) {
+	const way = 500 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		store := &fakeStore{snapshot: jydiscovery.Snapshot{Revision: 1, Configuration: version(1)}}
+		d := jydiscovery.New(jydiscovery.Config{
+			Store: store, WatchWait: time.Second, OnState: func(jynote.State, []jyregistry.Server) {},
+			Feeder: func() (jydiscovery.Feeder, bool) { return slowWay(way), true },
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			_ = d.Run(ctx)
+		}()
+		time.Sleep(2 * time.Second)
+		for range 300 {
+			time.Sleep(10 * time.Millisecond)
+			assert.GreaterOrEqual(t, d.Age(), way)
+		}
+		assert.Zero(t, store.watches)
+		cancel()
+		<-done
+	})
+}
--- a/internal/jynode/feeder.go
+++ b/internal/jynode/feeder.go
@@ -19,7 +19,7 @@
 
 // followed is an instance whose changes others may follow.
 type followed interface {
-	Follow(ctx context.Context, after jydiscovery.Revision, wait time.Duration) (jydiscovery.Changes, time.Duration, error)
+	Follow(ctx context.Context, after jydiscovery.Revision, wait time.Duration) (c jydiscovery.Changes, proof time.Duration, err error)
 }
 
 // feederFrom returns what chooses the instance that reads the store for this one, or none if it reads itself.
@@ -56,7 +56,7 @@
 	if err := json.Unmarshal(r.Msg.GetChanges(), &changes); err != nil {
 		return jydiscovery.Changes{}, 0, err
 	}
-	return changes, time.Duration(r.Msg.GetAgeMilliseconds()) * time.Millisecond, nil
+	return changes, time.Duration(r.Msg.GetProofMilliseconds()) * time.Millisecond, nil
 }
 
 // followed returns what peers may follow, or nil.
@@ -75,7 +75,7 @@
 		return nil, connect.NewError(connect.CodeUnimplemented, errNoStore)
 	}
 	wait := time.Duration(r.Msg.GetWaitMilliseconds()) * time.Millisecond
-	changes, age, err := h.follow.Follow(ctx, jydiscovery.Revision(r.Msg.GetAfter()), wait)
+	changes, proof, err := h.follow.Follow(ctx, jydiscovery.Revision(r.Msg.GetAfter()), wait)
 	if err != nil {
 		return nil, connect.NewError(connect.CodeUnavailable, err)
 	}
@@ -83,5 +83,5 @@
 	if err != nil {
 		return nil, connect.NewError(connect.CodeInternal, err)
 	}
-	return connect.NewResponse(&jywire.FollowResponse{AgeMilliseconds: uint32(age.Milliseconds()), Changes: raw}), nil
+	return connect.NewResponse(&jywire.FollowResponse{ProofMilliseconds: proof.Milliseconds(), Changes: raw}), nil
 }
