Tell which backend servers get no requests, and why

Change: event 310, at most once a second for each service of which a tenth of the nearby servers got nothing for two seconds, and the gauge servers_unused. No decision changes.

--- a/internal/jybackend/coverage.go
+++ b/internal/jybackend/coverage.go
@@ -37,6 +37,13 @@
 	c.decide.Observe(now, f.Served, f.Unserved)
 }
 
+// unservedShare returns the share of the requests of late that were not served.
+func (c *coverage) unservedShare(now time.Time) float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.decide.UnservedShare(now)
+}
+
 // TakeFinished returns what became of requests in this data centre since the last call.
 func (v *Service) TakeFinished() Finished {
 	v.coverage.mu.Lock()
--- a/internal/jybackend/directory.go
+++ b/internal/jybackend/directory.go
@@ -224,7 +224,7 @@
 	if old != nil && old.Info == info {
 		return old
 	}
-	return &Server{Info: info, Pool: NewPool(PoolConfig{
+	return &Server{Info: info, seen: time.Now(), Pool: NewPool(PoolConfig{
 		Address:        info.Address,
 		ConnectTimeout: d.config.ConnectTimeout,
 		MaxIdle:        d.config.MaxIdle,
--- a/internal/jybackend/server.go
+++ b/internal/jybackend/server.go
@@ -16,6 +16,7 @@
 type Server struct {
 	Info     jynote.BackendServer
 	Pool     *Pool
+	seen     time.Time // when it came into force here
 	inFlight atomic.Int32
 	attempts atomic.Uint64
 	failures atomic.Uint64
--- /dev/null
+++ b/internal/jybackend/usage.go
@@ -0,0 +1,66 @@
+package jybackend
+
+import (
+	"time"
+
+	"github.com/jackdawyard/jackdawyard/pkg/jynote"
+)
+
+// unusedTime is how long a server must have got no request to count as unused.
+const unusedTime = 2 * time.Second
+
+// Usage is how many of a service's servers in this data centre get requests, as far as known here.
+type Usage struct {
+	Servers int
+	Unused  int
+	// Doubted and PassedOver count the unused servers that are believed gray, and those that this instance lost connections to.
+	Doubted    int
+	PassedOver int
+	// Longest is the longest time without a request, at the server Named; a server that never got one counts as of its first sight.
+	Longest time.Duration
+	Named   jynote.ServerName
+	// UnservedShare is the share of the requests of late that were not served.
+	UnservedShare float64
+}
+
+// Usage returns which servers get requests; there is nothing where they are not chosen by expected loss.
+func (v *Service) Usage(now time.Time) Usage {
+	var out Usage
+	if !v.byLoss {
+		return out
+	}
+	out.UnservedShare = v.coverage.unservedShare(now)
+	for _, s := range v.Servers {
+		if v.isNearby(s) {
+			out.add(now, s)
+		}
+	}
+	return out
+}
+
+func (u *Usage) add(now time.Time, s *Server) {
+	u.Servers++
+	unused := s.unused(now)
+	if unused < unusedTime {
+		return
+	}
+	u.Unused++
+	if s.health.gray(now) >= doubted {
+		u.Doubted++
+	}
+	if s.isPassedOver(now) {
+		u.PassedOver++
+	}
+	if unused > u.Longest {
+		u.Longest, u.Named = unused, s.Info.Name
+	}
+}
+
+// unused returns how long no instance is known to have sent the server a request, since it was first seen.
+func (s *Server) unused(now time.Time) time.Duration {
+	last := s.lastUsed()
+	if last.Before(s.seen) {
+		last = s.seen
+	}
+	return now.Sub(last)
+}
--- a/internal/jylog/catalogue.go
+++ b/internal/jylog/catalogue.go
@@ -45,6 +45,8 @@
 	ServerDoubted = define(308, Info, "backend server is believed gray", "Look at the backend server if it stays so; requests avoid it meanwhile.", "Service", "Server", "GrayChance", "Outcome", "Source")
 	ServerTrusted = define(309, Info, "backend server is believed well again", "None.", "Service", "Server", "GrayChance", "Source")
 
+	ServersUnused = define(310, Info, "backend servers get no requests", "Look at what keeps them out: doubted ones fail what they are sent, passed over ones are out of reach of this instance.", "Service", "Servers", "Unused", "Doubted", "PassedOver", "Named", "LongestMilliseconds", "UnservedShare")
+
 	MemberJoined  = define(400, Info, "instance joined", "None.", "Instance", "Boot")
 	MemberSuspect = define(401, Info, "instance suspected", "None unless it is followed by 402.", "Instance")
 	MemberDead    = define(402, Alarm, "instance lost", "Check that the platform replaces it.", "Instance")
--- a/internal/jynode/gauges.go
+++ b/internal/jynode/gauges.go
@@ -3,9 +3,17 @@
 import (
 	"context"
 	"time"
+
+	"github.com/jackdawyard/jackdawyard/internal/jybackend"
+	"github.com/jackdawyard/jackdawyard/internal/jylog"
 )
 
-const gaugeInterval = 5 * time.Second
+const (
+	gaugeInterval = 5 * time.Second
+	usageInterval = time.Second
+	// unusedShare is the share of a service's servers without requests from which on they are logged.
+	unusedShare = 0.1
+)
 
 // gauges shows the instance's state as metrics.
 type gauges struct {
@@ -16,23 +24,40 @@
 func (g gauges) Run(ctx context.Context) error {
 	ticker := time.NewTicker(gaugeInterval)
 	defer ticker.Stop()
+	usage := time.NewTicker(usageInterval)
+	defer usage.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
 			g.set()
+		case <-usage.C:
+			g.logUsage()
+		}
+	}
+}
+
+// logUsage tells of services of which many servers get no requests, and why.
+func (g gauges) logUsage() {
+	now := time.Now()
+	for _, v := range g.node.directory.Snapshot().Services() {
+		u := v.Usage(now)
+		if u.Unused == 0 || float64(u.Unused) < unusedShare*float64(u.Servers) {
+			continue
 		}
+		jylog.ServersUnused.Log(v.Info.Name, u.Servers, u.Unused, u.Doubted, u.PassedOver, u.Named, u.Longest.Milliseconds(), jybackend.Rounded(u.UnservedShare))
 	}
 }
 
 func (g gauges) set() {
 	n := g.node
-	open, usable, doubted, retries := 0, 0, 0, 0.0
+	open, usable, doubted, unused, retries := 0, 0, 0, 0, 0.0
 	now := time.Now()
 	for _, v := range n.directory.Snapshot().Services() {
 		usable += v.Capacity().UsableSlots
 		retries += v.RetriesLeft(now)
+		unused += v.Usage(now).Unused
 		for _, o := range v.Outlooks(now) {
 			if o.IsDoubted {
 				doubted++
@@ -53,6 +78,7 @@
 		"release_number":     int(n.source.Mark().Number),
 		"source_away":        away,
 		"servers_doubted":    doubted,
+		"servers_unused":     unused,
 		"working_instances":  n.fleet.WorkingCount(),
 		"request_ids":        n.requestIDs().Records,
 		"in_progress":        int(n.proxy.InProgress()),
--- a/pkg/jyplace/coverage.go
+++ b/pkg/jyplace/coverage.go
@@ -73,6 +73,15 @@
 	c.at = now
 }
 
+// UnservedShare returns the share of the requests of late that were not served, 0 where there were none.
+func (c *Coverage) UnservedShare(now time.Time) float64 {
+	c.fade(now)
+	if c.failed == 0 {
+		return 0
+	}
+	return c.failed / (c.failed + c.answered)
+}
+
 // Now returns what is to be covered now.
 func (c *Coverage) Now(now time.Time) Cover {
 	c.fade(now)
