--- a/internal/jyexperiment/placing.go
+++ b/internal/jyexperiment/placing.go
@@ -50,10 +50,36 @@
 	for i := range s.servers {
 		s.startServer(&s.servers[i])
 	}
+	s.out.LeastUsed = 1
 	s.after(0, s.arrive)
+	s.after(usageWindow, s.countUsed)
 	s.run()
 	n := s.requests
-	return PlacingResult{InTime: s.out.InTime / n, Late: s.out.Late / n, Failed: s.out.Failed / n, Shed: s.out.Shed / n, Again: s.out.Again / n}
+	return PlacingResult{
+		InTime: s.out.InTime / n, Late: s.out.Late / n, Failed: s.out.Failed / n, Shed: s.out.Shed / n, Again: s.out.Again / n,
+		LeastUsed: s.out.LeastUsed,
+	}
+}
+
+const (
+	// usageWindow is the time within which a server must get a request to count as used.
+	usageWindow = 2 * time.Second
+	usageStep   = 50 * time.Millisecond
+)
+
+// countUsed notes how many servers got a request within the window that ends now.
+func (s *placingSim) countUsed() {
+	if s.now >= s.c.Time {
+		return
+	}
+	used := 0
+	for _, v := range s.servers {
+		if v.wasUsed && s.wall().Sub(v.used) <= usageWindow {
+			used++
+		}
+	}
+	s.out.LeastUsed = min(s.out.LeastUsed, float64(used)/float64(len(s.servers)))
+	s.after(usageStep, s.countUsed)
 }
 
 // wall returns the virtual time as a clock shows it.
--- a/internal/jyexperiment/placing_case.go
+++ b/internal/jyexperiment/placing_case.go
@@ -44,6 +44,8 @@
 	Shed   float64
 	// Again is the number of repeats for each request.
 	Again float64
+	// LeastUsed is the least share of the servers that got a request within any two seconds.
+	LeastUsed float64
 }
 
 // Unserved returns the share of the requests that got no answer of worth.
--- a/internal/jyexperiment/placing_test.go
+++ b/internal/jyexperiment/placing_test.go
@@ -30,3 +30,18 @@
 		})
 	}
 }
+
+// floorShare is the share of a service's servers that the users want to be in use within any two seconds.
+const floorShare = 0.7
+
+func TestAServiceIsNeverServedByFewerServersThanItsFloor(t *testing.T) {
+	for _, load := range jyexperiment.PlacingLoads(30 * time.Second) {
+		t.Run(load.Name, func(t *testing.T) {
+			for seed := range uint64(6) {
+				c := load.PlacingCase
+				c.Placer = jyexperiment.PlaceByLoss
+				assert.GreaterOrEqual(t, jyexperiment.Place(c, seed+1).LeastUsed, floorShare, "seed %d", seed+1)
+			}
+		})
+	}
+}
