Keep a floor of servers in use by count, whatever is believed of them

What callers saw: too little served.

Cause: nothing bounded how many servers were avoided. Three in ten servers turn gray by turns, so three in ten got nothing.

Change: at least the floor of a service's servers, doubted ones too, get a request each 1.75 s; a tenth more while calm, a quarter more in trouble. The most doubtful ones may rest; data centres divide how many. What a trial fails does not count as trouble. The floor is a setting (LeastUsedShare), from the platform's own. The tests of the former way (thresholds of doubt) are replaced by ones of counts, division and order.

--- a/internal/jybackend/choose_bench_test.go
+++ b/internal/jybackend/choose_bench_test.go
@@ -29,7 +29,7 @@
 // byLoss returns a service whose servers are chosen by expected loss.
 func byLoss(servers int) *jybackend.Service {
 	d := jybackend.NewDirectory(jybackend.Config{
-		ConnectTimeout: time.Second, MaxIdle: time.Minute, RetryBudgetShare: 0.2, ByLoss: true, DataCentre: "dc-0", Instance: "entry-1",
+		ConnectTimeout: time.Second, MaxIdle: time.Minute, RetryBudgetShare: 0.2, ByLoss: true, LeastUsedShare: 0.7, DataCentre: "dc-0", Instance: "entry-1",
 		Instances: func() int { return 15 }, IsNear: func(jynote.DataCentreName) bool { return true },
 	})
 	state := jynote.State{Number: 1, Services: []jynote.Service{{Name: "s"}}}
--- a/internal/jybackend/coverage.go
+++ b/internal/jybackend/coverage.go
@@ -1,6 +1,8 @@
 package jybackend
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -17,8 +19,8 @@
 	nearby Finished
 }
 
-func newCoverage() *coverage {
-	return &coverage{decide: jyplace.NewCoverage(jyplace.DefaultCoverage())}
+func newCoverage(floor float64) *coverage {
+	return &coverage{decide: jyplace.NewCoverage(jyplace.DefaultCoverage(floor))}
 }
 
 // observe takes requests that ended in this data centre.
@@ -56,26 +58,60 @@
 // Hash identifies the service in signals between instances.
 func (v *Service) Hash() uint64 { return xxhash.Sum64String(string(v.Info.Name)) }
 
-// NoteUnserved records that a request ended without being served, at a server or without one.
-func (v *Service) NoteUnserved(s *Server) {
+// NoteUnserved records that a request ended without being served, at a server or without one. One that tried a server for the
+// sake of coverage does not count: it tells of that server, not of the service.
+func (v *Service) NoteUnserved(p Placement) {
+	s := p.Server
+	if p.IsTrial {
+		return
+	}
 	v.coverage.observe(time.Now(), Finished{Unserved: 1})
 	if v.observer != nil && s != nil {
 		v.observer.Unserved(s)
 	}
 }
 
-// cover returns what is to be covered now, and whether servers nearby must be tried for it although others seem better.
-func (v *Service) cover(now time.Time) (jyplace.Cover, bool) {
+// mustTry tells of each server whether a request must try it before others, since too few of those nearby are in use; nil
+// stands for none.
+func (v *Service) mustTry(now time.Time, isRepeatable bool) []bool {
 	v.coverage.mu.Lock()
 	cover := v.coverage.decide.Now(now)
 	v.coverage.mu.Unlock()
-	var last []time.Time
-	for _, s := range v.Servers {
-		if v.isNearby(s) {
-			last = append(last, s.lastUsed())
+	var idle []jyplace.Idle
+	for i, s := range v.Servers {
+		if v.isNearby(s) && cover.IsIdle(now, s.lastUsed(), isRepeatable) && s.mayBeTried(now) {
+			idle = append(idle, jyplace.Idle{Server: i, FailChance: s.health.prospect(now).failChance})
+		}
+	}
+	if len(idle) == 0 {
+		return nil
+	}
+	var must []bool
+	for _, x := range jyplace.MustTry(idle, cover.MayRest(v.centres, v.ownCentre)) {
+		if must == nil {
+			must = make([]bool, len(v.Servers))
 		}
+		must[x.Server] = true
+	}
+	return must
+}
+
+// mayBeTried reports whether a request can reach the server: one that leaves, or to which connections were lost just now, is
+// not there to be used.
+func (s *Server) mayBeTried(now time.Time) bool { return !s.IsDraining(now) && !s.isPassedOver(now) }
+
+// countCentres counts the servers in each data centre, in the order of their names, and finds that of this instance.
+func (v *Service) countCentres() {
+	count := map[string]int{v.dataCentre: 0}
+	for _, s := range v.Servers {
+		count[string(s.Info.DataCentre)]++
+	}
+	names := slices.Sorted(maps.Keys(count))
+	v.ownCentre = slices.Index(names, v.dataCentre)
+	v.centres = make([]int, len(names))
+	for i, name := range names {
+		v.centres[i] = count[name]
 	}
-	return cover, cover.Lacks(now, last)
 }
 
 func (v *Service) isNearby(s *Server) bool { return string(s.Info.DataCentre) == v.dataCentre }
--- a/internal/jybackend/directory.go
+++ b/internal/jybackend/directory.go
@@ -20,6 +20,8 @@
 	RetryBudgetShare float64
 	// RetryBudgetSlack returns the retries that this instance may make beyond the share in each window; nil stands for none.
 	RetryBudgetSlack func() float64
+	// LeastUsedShare is the share of a service's servers that must get requests within two seconds, where they are chosen by loss.
+	LeastUsedShare float64
 	// ByLoss chooses servers by expected loss from DataCentre; else by free slots among those that are not ejected.
 	ByLoss     bool
 	DataCentre string
@@ -139,6 +141,7 @@
 	near := d.nearCentres(state)
 	for _, v := range next.services {
 		d.rank(v, near)
+		v.countCentres()
 		v.takeVerdicts(old.services[v.Info.Name])
 	}
 	d.current.Store(next)
@@ -194,7 +197,7 @@
 func (d *Directory) service(info jynote.Service, old *Service) *Service {
 	v := &Service{
 		Info: info, latency: newLatency(), byLoss: d.config.ByLoss, dataCentre: d.config.DataCentre, slack: d.slack, observer: d.observer,
-		budget: jyretry.NewBudget(d.budget()), coverage: newCoverage(),
+		budget: jyretry.NewBudget(d.budget()), coverage: newCoverage(d.config.LeastUsedShare),
 	}
 	v.plan = func(servers, connections int) jysubset.Plan {
 		return jysubset.PlanFor(d.config.Instances(), servers, connections)
--- a/internal/jybackend/loss.go
+++ b/internal/jybackend/loss.go
@@ -20,17 +20,17 @@
 // chooseByLoss picks the server at which the request is expected to lose least, and counts the request there.
 func (v *Service) chooseByLoss(now time.Time, n Need) (Placement, error) {
 	request := jyplace.Request{Work: v.latency.workValue(n.Objective / unknownWork), Objective: n.Objective, IsRepeatable: n.IsRepeatable}
-	cover, lacking := v.cover(now)
+	must := v.mustTry(now, n.IsRepeatable)
 	i := jyplace.Choose(len(v.Servers), func(i int) jyplace.Candidate {
 		c := v.candidate(now, v.Servers[i], n)
-		c.IsDue = lacking && v.isNearby(v.Servers[i]) && cover.IsDue(now, v.Servers[i].lastUsed(), c.FailChance, n.IsRepeatable)
+		c.IsDue = must != nil && must[i]
 		return c
 	}, request, rand.Float64)
 	if i == jyplace.None {
 		return Placement{}, jyfault.New("choose backend server", NoServer, "service %s", v.Info.Name)
 	}
 	s := v.Servers[i]
-	chosen := Placement{Server: s, Load: s.load(now), FailChance: s.health.prospect(now).failChance}
+	chosen := Placement{Server: s, Load: s.load(now), FailChance: s.health.prospect(now).failChance, IsTrial: must != nil && must[i]}
 	s.inFlight.Add(1)
 	s.markUsed(now)
 	if v.observer != nil {
--- a/internal/jybackend/service.go
+++ b/internal/jybackend/service.go
@@ -32,6 +32,9 @@
 	dataCentre string
 	observer   Observer
 	coverage   *coverage
+	// centres holds the number of servers in each data centre, and ownCentre says which is this instance's.
+	centres   []int
+	ownCentre int
 	// view holds the seats that this instance uses, and all those of the whole service.
 	view   atomic.Pointer[[]seat]
 	all    atomic.Pointer[[]seat]
@@ -105,6 +108,8 @@
 	Load int
 	// FailChance is the chance to fail that was believed when the server was chosen.
 	FailChance float64
+	// IsTrial says that the server was chosen since it got no request for long.
+	IsTrial bool
 }
 
 // hasSlot reports whether a slot seemed free, so that the request was worked on at once.
--- a/internal/jyexperiment/placing.go
+++ b/internal/jyexperiment/placing.go
@@ -39,13 +39,14 @@
 	server       int
 	load         int
 	tried        int // the server that failed it before, or -1
+	isTrial      bool
 }
 
 // Place runs one case.
 func Place(c PlacingCase, seed uint64) PlacingResult {
 	s := &placingSim{
 		c: c, random: rand.New(rand.NewPCG(seed, 7)), model: jybelief.DefaultConfig(),
-		coverage: jyplace.NewCoverage(jyplace.DefaultCoverage()), servers: make([]placingServer, c.Servers),
+		coverage: jyplace.NewCoverage(jyplace.DefaultCoverage(leastUsedShare)), servers: make([]placingServer, c.Servers),
 	}
 	for i := range s.servers {
 		s.startServer(&s.servers[i])
@@ -62,6 +63,8 @@
 }
 
 const (
+	// leastUsedShare is the share of the servers that must be in use.
+	leastUsedShare = 0.7
 	// usageWindow is the time within which a server must get a request to count as used.
 	usageWindow = 2 * time.Second
 	usageStep   = 50 * time.Millisecond
@@ -162,7 +165,9 @@
 		s.place(r)
 		return
 	}
-	s.coverage.Observe(s.wall(), 0, 1)
+	if !r.isTrial {
+		s.coverage.Observe(s.wall(), 0, 1)
+	}
 	s.out.Failed++
 }
 
@@ -171,14 +176,9 @@
 		return s.leastBusy(r)
 	}
 	now := s.wall()
-	cover := s.coverage.Now(now)
-	last := make([]time.Time, len(s.servers))
-	for i, v := range s.servers {
-		last[i] = v.used
-	}
-	lacks := cover.Lacks(now, last) && s.c.Placer == PlaceByLoss
 	request := jyplace.Request{Work: s.c.Work, Objective: s.c.Objective, IsRepeatable: r.isRepeatable && r.tried < 0}
-	return jyplace.Choose(len(s.servers), func(i int) jyplace.Candidate {
+	must := s.mustTry(now, request.IsRepeatable)
+	i := jyplace.Choose(len(s.servers), func(i int) jyplace.Candidate {
 		v := &s.servers[i]
 		c := jyplace.Candidate{
 			InFlight: float64(v.inFlight), Slots: s.c.Slots, Slowdown: 1, IsExcluded: i == r.tried,
@@ -191,9 +191,30 @@
 			return c
 		}
 		c.FailChance, c.Unused, c.IsNew = s.model.FailChance(v.belief, now), now.Sub(v.used), !v.wasUsed
-		c.IsDue = lacks && cover.IsDue(now, v.used, c.FailChance, request.IsRepeatable)
+		c.IsDue = must[i]
 		return c
 	}, request, s.random.Float64)
+	r.isTrial = must[i]
+	return i
+}
+
+// mustTry returns the servers that a request must try before others.
+func (s *placingSim) mustTry(now time.Time, isRepeatable bool) map[int]bool {
+	out := map[int]bool{}
+	if s.c.Placer != PlaceByLoss {
+		return out
+	}
+	cover := s.coverage.Now(now)
+	var idle []jyplace.Idle
+	for i, v := range s.servers {
+		if cover.IsIdle(now, v.used, isRepeatable) {
+			idle = append(idle, jyplace.Idle{Server: i, FailChance: s.model.FailChance(v.belief, now)})
+		}
+	}
+	for _, x := range jyplace.MustTry(idle, cover.MayRest([]int{len(s.servers)}, 0)) {
+		out[x.Server] = true
+	}
+	return out
 }
 
 func (s *placingSim) leastBusy(r *placingRequest) int {
--- a/internal/jynode/gauges.go
+++ b/internal/jynode/gauges.go
@@ -12,7 +12,7 @@
 	gaugeInterval = 5 * time.Second
 	usageInterval = time.Second
 	// unusedShare is the share of a service's servers without requests from which on they are logged.
-	unusedShare = 0.1
+	unusedShare = 0.25
 )
 
 // gauges shows the instance's state as metrics.
--- a/internal/jynode/node.go
+++ b/internal/jynode/node.go
@@ -93,7 +93,7 @@
 	n.directory = jybackend.NewDirectory(jybackend.Config{
 		ConnectTimeout: s.ConnectTimeout, MaxIdle: s.MaxIdle,
 		RetryBudgetShare: s.RetryBudgetShare, RetryBudgetSlack: n.retrySlack,
-		ByLoss: s.Placing == jysettings.PlacingLoss, DataCentre: s.DataCentre,
+		ByLoss: s.Placing == jysettings.PlacingLoss, LeastUsedShare: s.LeastUsedShare, DataCentre: s.DataCentre,
 		Instance: s.Name, Instances: n.countInstances, IsNear: n.isNear,
 	})
 	n.burn = jyreport.NewBurn(n.directory, n.metrics)
--- a/internal/jyproxy/forwarder.go
+++ b/internal/jyproxy/forwarder.go
@@ -45,7 +45,7 @@
 func (f *Forwarder) forward(ctx context.Context, r *request) (*answer, *jyoutcome.Refusal) {
 	out, refusal := f.try(ctx, r)
 	if f.isUnserved(r, out, refusal) {
-		r.service.NoteUnserved(r.last.Server)
+		r.service.NoteUnserved(r.last)
 	}
 	return out, refusal
 }
--- a/internal/jysettings/settings.go
+++ b/internal/jysettings/settings.go
@@ -67,6 +67,7 @@
 	RetryBudgetShare    float64
 	RetryBudgetSlack    int
 	Placing             Placing
+	LeastUsedShare      float64
 	MaxIdle             time.Duration
 	HeapGrowthPercent   int
 	ConnectTimeout      time.Duration
--- a/pkg/jyplace/coverage.go
+++ b/pkg/jyplace/coverage.go
@@ -1,52 +1,56 @@
 package jyplace
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 )
 
 // CoverageConfig sets up a Coverage.
 type CoverageConfig struct {
-	// FailShare is the share of failed requests above which the servers of a service must be covered.
+	// FailShare is the share of failed requests above which a service is in trouble.
 	FailShare float64
 	// MinFailures is the number of failures below which a service is not in trouble.
 	MinFailures float64
-	// Calm and Trouble say what is to be covered below and above that share.
+	// Calm and Trouble say how many servers must be in use below and above that share.
 	Calm    Cover
 	Trouble Cover
 	// Memory is how long an outcome counts, on average.
 	Memory time.Duration
 }
 
-// DefaultCoverage returns a coverage that keeps the servers of a service in use while it fails about one request in twelve.
-func DefaultCoverage() CoverageConfig {
+const (
+	// calmMargin is kept above the floor at all times: failures that come in are known too late to act on them.
+	calmMargin = 0.10
+	// troubleMargin is kept while requests fail: the floor holds for the servers without a fault too, which may be few.
+	troubleMargin = 0.25
+)
+
+// DefaultCoverage returns a coverage that keeps at least the floor, a share of the servers of a service, in use.
+func DefaultCoverage(floor float64) CoverageConfig {
+	cover := func(margin float64) Cover {
+		return Cover{Floor: floor, Share: min(1, floor+margin), Lately: 1750 * time.Millisecond, LatelyRepeatable: 1400 * time.Millisecond}
+	}
 	return CoverageConfig{
-		FailShare:   0.085,
-		MinFailures: 4,
-		Calm:        Cover{Share: 0.8, Lately: 1600 * time.Millisecond, MaxFailChance: 0.46},
-		Trouble: Cover{
-			Share: 1, Lately: 1200 * time.Millisecond, MaxFailChance: 0.5,
-			Doubted: 3 * time.Second, DoubtedRepeatable: 2 * time.Second,
-		},
-		Memory: 1500 * time.Millisecond,
+		FailShare: 0.07, MinFailures: 4, Memory: 1500 * time.Millisecond,
+		Calm: cover(calmMargin), Trouble: cover(troubleMargin),
 	}
 }
 
-// Cover is how many servers of a service must have got a request lately.
+// Cover is how many servers of a service must have got a request lately, whatever is believed of them.
 type Cover struct {
+	// Floor is the least share of the servers, and Share the one to keep.
+	Floor float64
 	Share float64
-	// Lately is how long ago a request may have been sent to a server that counts as covered.
-	Lately time.Duration
-	// MaxFailChance is the chance to fail above which a server is doubted.
-	MaxFailChance float64
-	// Doubted and DoubtedRepeatable are what Lately is for a doubted server, in the eyes of a request and of one that
-	// may be repeated; 0 is never.
-	Doubted           time.Duration
-	DoubtedRepeatable time.Duration
+	// Lately is how long ago a request may have been sent to a server that counts as in use; LatelyRepeatable is less, so that
+	// requests that may be repeated are the first to try a server.
+	Lately           time.Duration
+	LatelyRepeatable time.Duration
 }
 
-// Coverage answers a service that fails many requests while some of its servers get none: those may be well by now. It is
-// not safe for concurrent use.
+// Coverage answers servers that are avoided for longer than they fail: it bounds how many of a service's servers get no
+// requests, more strictly while the service fails many. It is not safe for concurrent use.
 type Coverage struct {
 	config   CoverageConfig
 	answered float64
@@ -82,34 +86,70 @@
 	return c.failed / (c.failed + c.answered)
 }
 
-// Now returns what is to be covered now.
+// Now returns how many servers must be in use now.
 func (c *Coverage) Now(now time.Time) Cover {
-	c.fade(now)
-	if c.failed >= c.config.MinFailures && c.failed > c.config.FailShare*(c.failed+c.answered) {
+	if share := c.UnservedShare(now); c.failed >= c.config.MinFailures && share > c.config.FailShare {
 		return c.config.Trouble
 	}
 	return c.config.Calm
 }
 
-// Lacks reports whether too few of the servers, given when each last got a request, are covered.
-func (c Cover) Lacks(now time.Time, last []time.Time) bool {
-	covered := 0
-	for _, t := range last {
-		if now.Sub(t) <= c.Lately {
-			covered++
-		}
+// IsIdle reports whether a server that got its last request then is not in use, in the eyes of a request.
+func (c Cover) IsIdle(now, last time.Time, isRepeatable bool) bool {
+	if isRepeatable {
+		return now.Sub(last) > c.LatelyRepeatable
+	}
+	return now.Sub(last) > c.Lately
+}
+
+// MayRest returns how many servers of the group own may be idle, given the number of servers in each group: the groups divide
+// what the service as a whole may spare, so that each can decide for itself.
+func (c Cover) MayRest(groups []int, own int) int {
+	total := 0
+	for _, n := range groups {
+		total += n
+	}
+	if total == 0 {
+		return 0
+	}
+	spare := math.Round((1 - c.Share) * float64(total))
+	most := math.Floor((1-c.Floor)*float64(total) + epsilon)
+	return divide(int(min(spare, most)), total, groups)[own]
+}
+
+// epsilon is what a product of shares may be off by rounding.
+const epsilon = 1e-9
+
+// divide divides spare in proportion to the groups, whose sum is total; what is left over goes to those that lost most by
+// rounding, the first ones first.
+func divide(spare, total int, groups []int) []int {
+	out := make([]int, len(groups))
+	order := make([]int, len(groups))
+	left := spare
+	for i, n := range groups {
+		out[i], order[i] = spare*n/total, i
+		left -= out[i]
+	}
+	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(spare*groups[b]%total, spare*groups[a]%total) })
+	for _, i := range order[:left] {
+		out[i]++
 	}
-	return float64(covered) < c.Share*float64(len(last))
+	return out
+}
+
+// Idle is a server that is not in use.
+type Idle struct {
+	Server     int
+	FailChance float64
 }
 
-// IsDue reports whether a request must try a server that got its last one then, and fails with this chance.
-func (c Cover) IsDue(now, last time.Time, failChance float64, isRepeatable bool) bool {
-	lately := c.Lately
-	if failChance > c.MaxFailChance {
-		lately = c.Doubted
-		if isRepeatable {
-			lately = c.DoubtedRepeatable
-		}
+// MustTry returns the idle servers that a request must try before all others: all but the most doubtful ones that may rest.
+func MustTry(idle []Idle, mayRest int) []Idle {
+	if len(idle) <= mayRest {
+		return nil
 	}
-	return lately > 0 && now.Sub(last) > lately
+	slices.SortFunc(idle, func(a, b Idle) int {
+		return cmp.Or(cmp.Compare(a.FailChance, b.FailChance), cmp.Compare(a.Server, b.Server))
+	})
+	return idle[:len(idle)-mayRest]
 }
--- a/pkg/jyplace/coverage_test.go
+++ b/pkg/jyplace/coverage_test.go
@@ -5,14 +5,15 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"pgregory.net/rapid"
 
 	"github.com/jackdawyard/jackdawyard/pkg/jyplace"
 )
 
 var coverageConfig = jyplace.CoverageConfig{
 	FailShare: 0.1, MinFailures: 3, Memory: time.Second,
-	Calm:    jyplace.Cover{Share: 0.5, Lately: 2 * time.Second, MaxFailChance: 0.4},
-	Trouble: jyplace.Cover{Share: 0.8, Lately: time.Second, MaxFailChance: 0.5},
+	Calm:    jyplace.Cover{Share: 0.5, Lately: 2 * time.Second, LatelyRepeatable: time.Second},
+	Trouble: jyplace.Cover{Share: 0.8, Lately: time.Second, LatelyRepeatable: 500 * time.Millisecond},
 }
 
 func TestCoverageIsWiderWhileAServiceFails(t *testing.T) {
@@ -40,37 +41,81 @@
 	}
 }
 
-func TestCoverageCountsTheServersThatGotARequestLately(t *testing.T) {
+func TestAServerIsIdleOnceItGotNoRequestLately(t *testing.T) {
 	now := time.Unix(1_000_000, 0)
 	c := coverageConfig.Trouble
-	recent, old := now.Add(-500*time.Millisecond), now.Add(-2*time.Second)
-	assert.False(t, c.Lacks(now, []time.Time{recent, recent, recent, recent, old}))
-	assert.True(t, c.Lacks(now, []time.Time{recent, recent, recent, old, old}))
+	tests := map[string]struct {
+		isRepeatable bool
+		idleAfter    time.Duration
+	}{
+		"in the eyes of a request that must not be repeated": {idleAfter: c.Lately},
+		"in the eyes of one that may be repeated":            {isRepeatable: true, idleAfter: c.LatelyRepeatable},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			assert.False(t, c.IsIdle(now, now.Add(-tt.idleAfter), tt.isRepeatable))
+			assert.True(t, c.IsIdle(now, now.Add(-tt.idleAfter-time.Millisecond), tt.isRepeatable))
+		})
+	}
 }
 
-func TestADoubtedServerIsTriedAgainMoreSeldom(t *testing.T) {
-	now := time.Unix(1_000_000, 0)
-	c := jyplace.Cover{
-		Share: 1, Lately: time.Second, MaxFailChance: 0.5, Doubted: 3 * time.Second, DoubtedRepeatable: 2 * time.Second,
+func TestTheMostDoubtfulIdleServersMayRest(t *testing.T) {
+	idle := func() []jyplace.Idle { return []jyplace.Idle{{0, 0.9}, {1, 0.1}, {2, 0.5}, {3, 0.1}} }
+	tests := map[string]struct {
+		mayRest int
+		want    []int
+	}{
+		"none may":                   {mayRest: 0, want: []int{1, 3, 2, 0}},
+		"one may, the most doubtful": {mayRest: 1, want: []int{1, 3, 2}},
+		"three may":                  {mayRest: 3, want: []int{1}},
+		"as many as there are":       {mayRest: 4},
+		"more than there are":        {mayRest: 9},
 	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			var got []int
+			for _, x := range jyplace.MustTry(idle(), tt.mayRest) {
+				got = append(got, x.Server)
+			}
+			assert.Equal(t, tt.want, got)
+		})
+	}
+}
+
+func TestDataCentresDivideWhatTheServiceMaySpare(t *testing.T) {
+	c := jyplace.Cover{Floor: 0.7, Share: 0.8}
 	tests := map[string]struct {
-		cover        jyplace.Cover
-		failChance   float64
-		isRepeatable bool
-		due          time.Duration
+		groups []int
+		want   []int
 	}{
-		"a trusted server":                         {cover: c, failChance: 0.1, due: time.Second},
-		"a doubted server":                         {cover: c, failChance: 0.9, due: 3 * time.Second},
-		"a doubted server, by repeatable requests": {cover: c, failChance: 0.9, isRepeatable: true, due: 2 * time.Second},
-		"a doubted server where that is not asked": {cover: coverageConfig.Calm, failChance: 0.9, due: 0},
+		"many servers":                      {groups: []int{36, 35, 36, 35, 44}, want: []int{7, 7, 7, 7, 9}},
+		"few servers, one may rest":         {groups: []int{2, 2, 2}, want: []int{1, 0, 0}},
+		"so few that the floor allows none": {groups: []int{1, 2}, want: []int{0, 0}},
+		"a data centre without servers":     {groups: []int{0, 5}, want: []int{0, 1}},
+		"no servers":                        {groups: []int{0}, want: []int{0}},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			isDue := func(after time.Duration) bool {
-				return tt.cover.IsDue(now, now.Add(-after), tt.failChance, tt.isRepeatable)
+			for own, want := range tt.want {
+				assert.Equal(t, want, c.MayRest(tt.groups, own), "group %d", own)
 			}
-			assert.False(t, isDue(tt.due))
-			assert.Equal(t, tt.due > 0, isDue(tt.due+time.Millisecond))
 		})
 	}
 }
+
+func TestGroupsTogetherNeverSpareMoreThanTheServiceMay(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		groups := rapid.SliceOfN(rapid.IntRange(0, 60), 1, 6).Draw(t, "groups")
+		floor := rapid.Float64Range(0, 1).Draw(t, "floor")
+		c := jyplace.Cover{Floor: floor, Share: rapid.Float64Range(floor, 1).Draw(t, "share")}
+		total, spared := 0, 0
+		for own, n := range groups {
+			mine := c.MayRest(groups, own)
+			assert.LessOrEqual(t, mine, n)
+			total += n
+			spared += mine
+		}
+		assert.GreaterOrEqual(t, float64(total-spared)+1e-6, floor*float64(total))
+		assert.InDelta(t, (1-c.Share)*float64(total), float64(spared), 1)
+	})
+}
