Count a server as used when a request is sent there, not when one ends

Change: the requests that a peer sent since its last report follow from its requests in flight and those that ended; only these mark the server.

Test: TestTheEndOfARequestAtAPeerIsNoUseOfTheServer failed before.

--- a/internal/jybackend/hearsay.go
+++ b/internal/jybackend/hearsay.go
@@ -49,8 +49,7 @@
 
 // hear takes what another instance tells of the server.
 func (s *Server) hear(now time.Time, from Reporter, h Heard) {
-	s.hearsay.set(now, from, h.InFlight)
-	if h.InFlight > 0 || h.Outcomes != (jybelief.Counts{}) {
+	if s.hearsay.set(now, from, h) > 0 {
 		s.markUsed(now)
 	}
 	for outcome, count := range h.Outcomes {
@@ -76,18 +75,23 @@
 // WasTried reports whether anything was ever observed or heard of the server.
 func (s *Server) WasTried() bool { return !s.health.isNew() }
 
-// set keeps the newest report of each instance; datagrams may overtake each other.
-func (h *hearsay) set(now time.Time, from Reporter, inFlight int) {
+// set keeps the newest report of each instance, since datagrams may overtake each other, and returns how many requests that
+// instance has sent since the one before, as far as the reports tell.
+func (h *hearsay) set(now time.Time, from Reporter, heard Heard) (sent int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.load == nil {
 		h.load = map[string]reportedLoad{}
 	}
-	old, known := h.load[from.Name]
-	if known && (old.from.Boot > from.Boot || (old.from.Boot == from.Boot && old.from.Sequence > from.Sequence)) {
-		return
+	old := h.load[from.Name]
+	if old.from.Boot > from.Boot || (old.from.Boot == from.Boot && old.from.Sequence > from.Sequence) {
+		return 0
+	}
+	h.load[from.Name] = reportedLoad{from: from, inFlight: heard.InFlight, at: now}
+	if old.from.Boot != from.Boot {
+		old.inFlight = 0
 	}
-	h.load[from.Name] = reportedLoad{from: from, inFlight: inFlight, at: now}
+	return heard.InFlight - old.inFlight + heard.Outcomes.Sum()
 }
 
 // others returns the requests that other instances have at the server.
--- a/internal/jybackend/usage_test.go
+++ b/internal/jybackend/usage_test.go
@@ -45,3 +45,16 @@
 		assert.NotEmpty(t, u.Named)
 	})
 }
+
+func TestTheEndOfARequestAtAPeerIsNoUseOfTheServer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		v := byLoss(3)
+		s := nearby(v)[0]
+		v.Hear(s, jybackend.Heard{InFlight: 1})
+		time.Sleep(3 * time.Second)
+		v.Hear(s, jybackend.Heard{Outcomes: jybackend.FailedEarly()})
+		assert.Equal(t, 1, v.Usage(time.Now()).Unused, "it was sent three seconds ago")
+		v.Hear(s, jybackend.Heard{Outcomes: jybackend.FailedEarly()})
+		assert.Zero(t, v.Usage(time.Now()).Unused, "it was sent since the report before")
+	})
+}
--- a/pkg/jybelief/outcome.go
+++ b/pkg/jybelief/outcome.go
@@ -33,6 +33,15 @@
 // Failures returns the requests that were not answered.
 func (c Counts) Failures() uint32 { return c[FailedEarly] + c[FailedLate] + c[Silent] }
 
+// Sum returns the requests of all outcomes.
+func (c Counts) Sum() int {
+	sum := 0
+	for _, n := range c {
+		sum += int(n)
+	}
+	return sum
+}
+
 // Add returns the sums.
 func (c Counts) Add(other Counts) Counts {
 	for i, n := range other {
