Keep the servers of a data centre without instances in use from another

Change: a data centre that tells nothing for 1.2 s has no instances; one of the others, by rendezvous hash, keeps its servers in use. Instances tell of their servers each second.

--- a/internal/jybackend/choose_bench_test.go
+++ b/internal/jybackend/choose_bench_test.go
@@ -28,8 +28,13 @@
 
 // byLoss returns a service whose servers are chosen by expected loss.
 func byLoss(servers int) *jybackend.Service {
+	return byLossIn("dc-0", servers).Snapshot().Service("s")
+}
+
+// byLossIn returns what an instance in the data centre uses: servers in three data centres, by turns.
+func byLossIn(centre string, servers int) *jybackend.Directory {
 	d := jybackend.NewDirectory(jybackend.Config{
-		ConnectTimeout: time.Second, MaxIdle: time.Minute, RetryBudgetShare: 0.2, ByLoss: true, LeastUsedShare: 0.7, DataCentre: "dc-0", Instance: "entry-1",
+		ConnectTimeout: time.Second, MaxIdle: time.Minute, RetryBudgetShare: 0.2, ByLoss: true, LeastUsedShare: 0.7, DataCentre: centre, Instance: "entry-1",
 		Instances: func() int { return 15 }, IsNear: func(jynote.DataCentreName) bool { return true },
 	})
 	state := jynote.State{Number: 1, Services: []jynote.Service{{Name: "s"}}}
@@ -40,5 +45,5 @@
 		})
 	}
 	d.Apply(state)
-	return d.Snapshot().Service("s")
+	return d
 }
--- a/internal/jybackend/coverage.go
+++ b/internal/jybackend/coverage.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/jackdawyard/jackdawyard/pkg/jynote"
 	"github.com/jackdawyard/jackdawyard/pkg/jyplace"
 )
 
@@ -71,46 +72,56 @@
 	}
 }
 
-// mustTry tells of each server whether a request must try it before others, since too few of those nearby are in use; nil
-// stands for none.
+// mustTry tells of each server whether a request must try it before others, since too few of those that this data centre keeps
+// in use are; nil stands for none.
 func (v *Service) mustTry(now time.Time, isRepeatable bool) []bool {
 	v.coverage.mu.Lock()
 	cover := v.coverage.decide.Now(now)
 	v.coverage.mu.Unlock()
-	var idle []jyplace.Idle
-	for i, s := range v.Servers {
-		if v.isNearby(s) && cover.IsIdle(now, s.lastUsed(), isRepeatable) && s.mayBeTried(now) {
-			idle = append(idle, jyplace.Idle{Server: i, FailChance: s.health.prospect(now).failChance})
-		}
-	}
-	if len(idle) == 0 {
-		return nil
-	}
 	var must []bool
-	for _, x := range jyplace.MustTry(idle, cover.MayRest(v.centres, v.ownCentre)) {
-		if must == nil {
-			must = make([]bool, len(v.Servers))
+	for centre, isKept := range v.centres.keptBy(now, jynote.DataCentreName(v.dataCentre), v.centreNames) {
+		if !isKept {
+			continue
+		}
+		idle := v.idle(now, centre, func(last time.Time) bool { return cover.IsIdle(now, last, isRepeatable) })
+		for _, x := range jyplace.MustTry(idle, cover.MayRest(v.centreSizes, centre)) {
+			if must == nil {
+				must = make([]bool, len(v.Servers))
+			}
+			must[x.Server] = true
 		}
-		must[x.Server] = true
 	}
 	return must
 }
 
+// idle returns the servers of a data centre that are not in use, given when they got their last request.
+func (v *Service) idle(now time.Time, centre int, isIdle func(last time.Time) bool) []jyplace.Idle {
+	var out []jyplace.Idle
+	for i, s := range v.Servers {
+		if v.centreOf[i] == centre && isIdle(s.lastUsed()) && s.mayBeTried(now) {
+			out = append(out, jyplace.Idle{Server: i, FailChance: s.health.prospect(now).failChance})
+		}
+	}
+	return out
+}
+
 // mayBeTried reports whether a request can reach the server: one that leaves, or to which connections were lost just now, is
 // not there to be used.
 func (s *Server) mayBeTried(now time.Time) bool { return !s.IsDraining(now) && !s.isPassedOver(now) }
 
-// countCentres counts the servers in each data centre, in the order of their names, and finds that of this instance.
+// countCentres notes which data centres have servers, in the order of their names, and how many.
 func (v *Service) countCentres() {
-	count := map[string]int{v.dataCentre: 0}
+	sizes := map[jynote.DataCentreName]int{}
 	for _, s := range v.Servers {
-		count[string(s.Info.DataCentre)]++
+		sizes[s.Info.DataCentre]++
+	}
+	v.centreNames = slices.Sorted(maps.Keys(sizes))
+	v.centreSizes, v.centreOf = nil, nil
+	for _, name := range v.centreNames {
+		v.centreSizes = append(v.centreSizes, sizes[name])
 	}
-	names := slices.Sorted(maps.Keys(count))
-	v.ownCentre = slices.Index(names, v.dataCentre)
-	v.centres = make([]int, len(names))
-	for i, name := range names {
-		v.centres[i] = count[name]
+	for _, s := range v.Servers {
+		v.centreOf = append(v.centreOf, slices.Index(v.centreNames, s.Info.DataCentre))
 	}
 }
 
--- a/internal/jybackend/directory.go
+++ b/internal/jybackend/directory.go
@@ -39,6 +39,7 @@
 	// observer must be set before the first Apply, or not at all.
 	observer Observer
 	current  atomic.Pointer[Snapshot]
+	centres  *centres
 }
 
 // Snapshot is what one release note put in force.
@@ -51,7 +52,7 @@
 
 // NewDirectory returns a directory with nothing in force.
 func NewDirectory(c Config) *Directory {
-	d := &Directory{config: c}
+	d := &Directory{config: c, centres: newCentres()}
 	d.current.Store(&Snapshot{Routes: jyroute.NewTable(jynote.State{})})
 	return d
 }
@@ -59,6 +60,11 @@
 // SetObserver sets who is told of each request; it must be called before the first Apply.
 func (d *Directory) SetObserver(o Observer) { d.observer = o }
 
+// HearFrom records that an instance in another data centre told something.
+func (d *Directory) HearFrom(now time.Time, centre jynote.DataCentreName) {
+	d.centres.hear(now, centre)
+}
+
 // Snapshot returns what is in force now.
 func (d *Directory) Snapshot() *Snapshot { return d.current.Load() }
 
@@ -197,7 +203,7 @@
 func (d *Directory) service(info jynote.Service, old *Service) *Service {
 	v := &Service{
 		Info: info, latency: newLatency(), byLoss: d.config.ByLoss, dataCentre: d.config.DataCentre, slack: d.slack, observer: d.observer,
-		budget: jyretry.NewBudget(d.budget()), coverage: newCoverage(d.config.LeastUsedShare),
+		budget: jyretry.NewBudget(d.budget()), coverage: newCoverage(d.config.LeastUsedShare), centres: d.centres,
 	}
 	v.plan = func(servers, connections int) jysubset.Plan {
 		return jysubset.PlanFor(d.config.Instances(), servers, connections)
--- a/internal/jybackend/export_test.go
+++ b/internal/jybackend/export_test.go
@@ -21,3 +21,8 @@
 	c[jybelief.FailedEarly] = 1
 	return c
 }
+
+// WasUsedWithin reports whether the server got a request within the time before now.
+func (v *Service) WasUsedWithin(s *Server, d time.Duration) bool {
+	return time.Since(s.lastUsed()) <= d
+}
--- a/internal/jybackend/service.go
+++ b/internal/jybackend/service.go
@@ -32,9 +32,11 @@
 	dataCentre string
 	observer   Observer
 	coverage   *coverage
-	// centres holds the number of servers in each data centre, and ownCentre says which is this instance's.
-	centres   []int
-	ownCentre int
+	// centreNames and centreSizes tell of the data centres that have servers, and centreOf of the one of each server.
+	centreNames []jynote.DataCentreName
+	centreSizes []int
+	centreOf    []int
+	centres     *centres
 	// view holds the seats that this instance uses, and all those of the whole service.
 	view   atomic.Pointer[[]seat]
 	all    atomic.Pointer[[]seat]
--- a/internal/jysignal/signals.go
+++ b/internal/jysignal/signals.go
@@ -16,6 +16,7 @@
 	"github.com/jackdawyard/jackdawyard/pkg/jybelief"
 	"github.com/jackdawyard/jackdawyard/pkg/jyfault"
 	"github.com/jackdawyard/jackdawyard/pkg/jymember"
+	"github.com/jackdawyard/jackdawyard/pkg/jynote"
 )
 
 // Fleet is what is asked of the membership.
@@ -140,6 +141,9 @@
 	now := time.Now()
 	from := jybackend.Reporter{Name: m.GetSender(), Boot: m.GetBoot(), Sequence: m.GetSequence()}
 	isNear := m.GetDataCentre() == s.self.DataCentre
+	if !isNear {
+		s.config.Directory.HearFrom(now, jynote.DataCentreName(m.GetDataCentre()))
+	}
 	snapshot := s.config.Directory.Snapshot()
 	for _, v := range m.GetServers() {
 		snapshot.Hear(now, v.GetServer(), from, jybackend.Heard{
