Keep nine in ten servers in use while calm, so that the floor holds among few

Cause: the floor was kept among all servers, 0.8 of them, but holds among those without a fault too. Of 186 servers 34 had none; a fifth idle of all is more than three in ten of 34 once in 23 windows.

Ruled out: that the bound itself was missed.

Change: 0.9 while calm. TestTheFloorHoldsAmongTheFewServersWithoutAFault: 870 of 20,000 draws undercut the floor before, under 20 now. The test against the least busy server keeps its loads; the large service that was added for the floor stands beside them.

--- a/internal/jyexperiment/placing_table.go
+++ b/internal/jyexperiment/placing_table.go
@@ -19,8 +19,8 @@
 	PlacingCase
 }
 
-// PlacingLoads returns the load patterns: a service of which nothing may be repeated, one of which everything may, a burst,
-// servers that are short of room, and many of these.
+// PlacingLoads returns the load patterns: a service of which nothing may be repeated, one of which everything may, a burst, and
+// servers that are short of room.
 func PlacingLoads(t time.Duration) []NamedPlacing {
 	write := PlacingCase{
 		Servers: 15, Slots: 4, Queue: 12, Rate: 61, Work: 300 * time.Millisecond, Objective: 1200 * time.Millisecond,
@@ -32,16 +32,22 @@
 	burst.BurstFrom, burst.BurstUntil, burst.BurstFactor = t/3, t/3+t/6, 2.5
 	tight := write
 	tight.Servers, tight.Slots, tight.Queue, tight.Rate, tight.Work, tight.Objective = 14, 2, 6, 85, 160*time.Millisecond, 600*time.Millisecond
-	many := tight
-	many.Servers, many.Queue, many.Rate = 44, 8, 147
-	return []NamedPlacing{{"writes", write}, {"reads", read}, {"writes, burst", burst}, {"writes, little room", tight}, {"writes, many servers", many}}
+	return []NamedPlacing{{"writes", write}, {"reads", read}, {"writes, burst", burst}, {"writes, little room", tight}}
+}
+
+// ManyServers returns the load of one data centre of a large service.
+func ManyServers(t time.Duration) NamedPlacing {
+	return NamedPlacing{"writes, many servers", PlacingCase{
+		Servers: 44, Slots: 2, Queue: 8, Rate: 147, Work: 160 * time.Millisecond, Objective: 600 * time.Millisecond,
+		Time: t, NewsDelay: 8 * time.Millisecond,
+	}}
 }
 
 // WritePlacing writes what becomes of requests under each load with each way of choosing.
 func WritePlacing(w io.Writer, o PlacingOptions) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(t, "Load\tPlacing\tIn time\tLate\tFailed\tShed\tRepeats\tLeast used\t")
-	for _, load := range PlacingLoads(o.Time) {
+	for _, load := range append(PlacingLoads(o.Time), ManyServers(o.Time)) {
 		for _, p := range Placers {
 			r := meanPlacing(load.PlacingCase, p, o.Seeds)
 			fmt.Fprintf(t, "%s\t%s\t%.2f%%\t%.2f%%\t%.2f%%\t%.2f%%\t%.3f\t%.2f\t\n", load.Name, p, 100*r.InTime, 100*r.Late, 100*r.Failed, 100*r.Shed, r.Again, r.LeastUsed)
--- a/internal/jyexperiment/placing_test.go
+++ b/internal/jyexperiment/placing_test.go
@@ -35,7 +35,8 @@
 const floorShare = 0.7
 
 func TestAServiceIsNeverServedByFewerServersThanItsFloor(t *testing.T) {
-	for _, load := range jyexperiment.PlacingLoads(30 * time.Second) {
+	const playTime = 30 * time.Second
+	for _, load := range append(jyexperiment.PlacingLoads(playTime), jyexperiment.ManyServers(playTime)) {
 		t.Run(load.Name, func(t *testing.T) {
 			for seed := range uint64(6) {
 				c := load.PlacingCase
--- a/pkg/jyplace/coverage.go
+++ b/pkg/jyplace/coverage.go
@@ -21,9 +21,10 @@
 }
 
 const (
-	// calmMargin is kept above the floor at all times: failures that come in are known too late to act on them.
-	calmMargin = 0.10
-	// troubleMargin is kept while requests fail: the floor holds for the servers without a fault too, which may be few.
+	// calmMargin is kept above the floor at all times: failures that come in are known too late to act on them, and the floor
+	// must hold among the servers without a fault too, which may be few.
+	calmMargin = 0.2
+	// troubleMargin is kept while many requests fail.
 	troubleMargin = 0.25
 )
 
--- a/pkg/jyplace/coverage_test.go
+++ b/pkg/jyplace/coverage_test.go
@@ -1,6 +1,7 @@
 package jyplace_test
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -119,3 +120,25 @@
 		assert.InDelta(t, (1-c.Share)*float64(total), float64(spared), 1)
 	})
 }
+
+// fewSound is how many servers of a large service may be without a fault while faults of all kinds overlap, as seen.
+const fewSound = 34
+
+func TestTheFloorHoldsAmongTheFewServersWithoutAFault(t *testing.T) {
+	const floor, servers, tries = 0.7, 186, 20_000
+	mayRest := jyplace.DefaultCoverage(floor).Calm.MayRest([]int{servers}, 0)
+	random := rand.New(rand.NewPCG(1, 2))
+	undercut := 0
+	for range tries {
+		used := 0
+		for _, server := range random.Perm(servers)[:fewSound] {
+			if server >= mayRest {
+				used++
+			}
+		}
+		if float64(used) < floor*fewSound {
+			undercut++
+		}
+	}
+	assert.Less(t, undercut, tries/1000, "once in a thousand windows of many failures")
+}
