--- a/internal/jybackend/centres.go
+++ b/internal/jybackend/centres.go
@@ -1,6 +1,8 @@
 package jybackend
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -60,3 +62,19 @@
 	}
 	return kept
 }
+
+// countCentres notes which data centres have servers, in the order of their names, and how many.
+func (v *Service) countCentres() {
+	sizes := map[jynote.DataCentreName]int{}
+	for _, s := range v.Servers {
+		sizes[s.Info.DataCentre]++
+	}
+	v.centreNames = slices.Sorted(maps.Keys(sizes))
+	v.centreSizes, v.centreOf = nil, nil
+	for _, name := range v.centreNames {
+		v.centreSizes = append(v.centreSizes, sizes[name])
+	}
+	for _, s := range v.Servers {
+		v.centreOf = append(v.centreOf, slices.Index(v.centreNames, s.Info.DataCentre))
+	}
+}
--- a/internal/jybackend/coverage.go
+++ b/internal/jybackend/coverage.go
@@ -1,8 +1,6 @@
 package jybackend
 
 import (
-	"maps"
-	"slices"
 	"sync"
 	"time"
 
@@ -109,22 +107,6 @@
 // not there to be used.
 func (s *Server) mayBeTried(now time.Time) bool { return !s.IsDraining(now) && !s.isPassedOver(now) }
 
-// countCentres notes which data centres have servers, in the order of their names, and how many.
-func (v *Service) countCentres() {
-	sizes := map[jynote.DataCentreName]int{}
-	for _, s := range v.Servers {
-		sizes[s.Info.DataCentre]++
-	}
-	v.centreNames = slices.Sorted(maps.Keys(sizes))
-	v.centreSizes, v.centreOf = nil, nil
-	for _, name := range v.centreNames {
-		v.centreSizes = append(v.centreSizes, sizes[name])
-	}
-	for _, s := range v.Servers {
-		v.centreOf = append(v.centreOf, slices.Index(v.centreNames, s.Info.DataCentre))
-	}
-}
-
 func (v *Service) isNearby(s *Server) bool { return string(s.Info.DataCentre) == v.dataCentre }
 
 // markUsed records that a request was sent to the server, by this instance or another.
