Wait for the drain itself before no request may reach the leaving server

The test took ten requests in a row at the other server for the sign that the drain is in force. The drain was not in force yet.

Conclusion: a stricter wait.

--- a/scenario/platform_test.go
+++ b/scenario/platform_test.go
@@ -161,11 +161,21 @@
 	}
 }
 
+// hasLogged reports whether the instance has logged the text.
+func (h *hosted) hasLogged(text string) bool {
+	raw, err := os.ReadFile(h.log)
+	require.NoError(h.t, err)
+	return strings.Contains(string(raw), text)
+}
+
 func TestADrainingServerGetsNoNewRequest(t *testing.T) {
 	leaving, staying := jyhoststandin.NewServer("i-1", "s1"), jyhoststandin.NewServer("i-2", "s1")
 	h := startHosted(t, leaving, staying)
 	leaving.Drain(h.store)
 	h.eventually(func() bool {
+		if !h.hasLogged("Servers=1\n") {
+			return false
+		}
 		before := len(leaving.Runs())
 		for range 10 {
 			h.ask(http.MethodGet, "/safe/x")
