Log the limits that backend servers state, and what is sent to such servers

Ruled out: metrics for it, as the labels would be one for each server. Before: no line names a limit. After: events 312 to 314 when a server states, changes, ends or garbles one, and 315 each second with the requests sent, by first attempts, trials, retries and second copies. No choice depends on it.

--- a/internal/jybackend/notices.go
+++ b/internal/jybackend/notices.go
@@ -12,6 +12,7 @@
 type notice struct {
 	drainingUntil atomic.Int64 // until when it counts as draining, in nanoseconds since the epoch
 	pausedUntil   atomic.Int64 // until when it wants no requests, in nanoseconds since the epoch
+	limit         limit
 }
 
 // isDraining reports whether the server counts as draining.
--- a/internal/jybackend/server.go
+++ b/internal/jybackend/server.go
@@ -31,6 +31,7 @@
 	fullUntil        atomic.Int64 // until when it is assumed to be full, in nanoseconds since the epoch
 	lastRequestNanos atomic.Int64 // when any instance last sent it a request, in nanoseconds since the epoch
 	peerLoads        peerLoads
+	sends            sendCounters
 }
 
 // RecordConnectionLost records that a connection to the server was lost or could not be opened. The server is skipped as
--- a/internal/jylog/catalogue.go
+++ b/internal/jylog/catalogue.go
@@ -50,6 +50,10 @@
 
 	ServersUnused        = define(310, Info, "backend servers get no requests", "Check why: Doubted counts the ones that are likely gray, PassedOver the ones that this instance skips as unreachable.", "Service", "Servers", "Unused", "Doubted", "PassedOver", "Named", "LongestMilliseconds", "UnservedShare")
 	ServerPauseRequested = define(311, Info, "backend server asked this instance to pause its requests", "Check the backend server's load if it asks often.", "Service", "Server", "Milliseconds")
+	ServerLimitStated    = define(312, Info, "backend server states a limit", "Check the server, which is in need. Requests beyond the limit go to others, or are rejected if there are none.", "Service", "Server", "PerSecond", "Source")
+	ServerLimitEnded     = define(313, Info, "backend server no longer states a limit", "None.", "Service", "Server", "Source")
+	ServerLimitMalformed = define(314, Alarm, "backend server states a malformed limit, which is ignored", "Correct what the server sends.", "Service", "Server", "Cause")
+	ServerLimitUse       = define(315, Info, "requests sent to a backend server with a limit in the last second", "None; the instances' numbers add up to what the server got.", "Service", "Server", "PerSecond", "First", "Trials", "Retries", "Copies")
 
 	MemberJoined  = define(400, Info, "instance joined", "None.", "Instance", "Boot")
 	MemberSuspect = define(401, Info, "instance suspected", "None unless it is followed by 402.", "Instance")
--- a/internal/jynode/gauges.go
+++ b/internal/jynode/gauges.go
@@ -20,7 +20,7 @@
 	node *Node
 }
 
-// Run updates the gauges and logs unused servers until ctx ends.
+// Run updates the gauges, and logs unused servers and those with a limit, until ctx ends.
 func (g gauges) Run(ctx context.Context) error {
 	ticker := time.NewTicker(gaugeInterval)
 	defer ticker.Stop()
@@ -34,6 +34,7 @@
 			g.set()
 		case <-unusedTicker.C:
 			g.logUnusedServers()
+			g.logLimitedServers()
 		}
 	}
 }
@@ -51,6 +52,21 @@
 	}
 }
 
+// logLimitedServers logs how many requests this instance sent since the last call to each server that states a limit.
+func (g gauges) logLimitedServers() {
+	for _, v := range g.node.directory.Snapshot().Services() {
+		for _, s := range v.Servers {
+			sent := s.TakeSends()
+			limit, isLimited := s.Limit()
+			if !isLimited || sent == (jybackend.Sends{}) {
+				continue
+			}
+			jylog.ServerLimitUse.Log(v.Info.Name, s.Info.Name, float64(limit), sent[jybackend.FirstSend], sent[jybackend.TrialSend],
+				sent[jybackend.RetrySend], sent[jybackend.CopySend])
+		}
+	}
+}
+
 // set updates all gauges.
 func (g gauges) set() {
 	n := g.node
--- a/internal/jyproxy/attempt.go
+++ b/internal/jyproxy/attempt.go
@@ -137,6 +137,7 @@
 func (a *attempt) read(ctx context.Context, x exchange) (*answer, *jyretry.Failure) {
 	resp := x.response
 	a.recordDrainAndRetryAfter(resp)
+	a.recordLimit(resp)
 	if !a.request.dialect.acceptsHead(resp) {
 		a.server().Pool.Drop(x.connection)
 		return nil, a.answerLost(ctx, x.connection, errInvalidHead)
--- a/internal/jyproxy/dialect.go
+++ b/internal/jyproxy/dialect.go
@@ -41,7 +41,12 @@
 		return false
 	}
 	isSuccess := resp.StatusCode >= http.StatusOK && resp.StatusCode < http.StatusMultipleChoices
-	return !isSuccess || d.SignatureHeader == "" || resp.Header.Get(d.SignatureHeader) != ""
+	return !isSuccess || d.isSigned(resp)
+}
+
+// isSigned reports whether an answer has the signature that shows that it comes from the backend server, if one is required.
+func (d Dialect) isSigned(resp *http.Response) bool {
+	return d.SignatureHeader == "" || resp.Header.Get(d.SignatureHeader) != ""
 }
 
 // answersRequest reports whether resp answers the request that has these headers. An answer without RequestIDHeader is assumed to.
--- a/internal/jyproxy/exchange.go
+++ b/internal/jyproxy/exchange.go
@@ -23,11 +23,11 @@
 // answer is used; if it is that of the second copy, the first connection is dropped as silent.
 func (a *attempt) roundTripHedged(ctx, firstCtx context.Context, conn *jybackend.Connection) (exchange, error) {
 	if !a.request.match.Idempotent || !conn.Reused || !a.request.replayable() {
-		return a.roundTrip(firstCtx, conn)
+		return a.roundTrip(firstCtx, conn, a.sendKind())
 	}
 	h := &hedge{attempt: a, cancelFirst: a.cancel, done: make(chan struct{})}
 	timer := time.AfterFunc(a.request.service.TailLatency()+a.forwarder.config.SilentConnectionLag, func() { h.run(ctx) })
-	x, err := a.roundTrip(firstCtx, conn)
+	x, err := a.roundTrip(firstCtx, conn, a.sendKind())
 	if timer.Stop() {
 		return x, err
 	}
@@ -35,7 +35,7 @@
 }
 
 // roundTrip sends one copy of the request on conn. It drops conn unless the copy is answered.
-func (a *attempt) roundTrip(ctx context.Context, conn *jybackend.Connection) (exchange, error) {
+func (a *attempt) roundTrip(ctx context.Context, conn *jybackend.Connection, kind jybackend.SendKind) (exchange, error) {
 	// The process may have been suspended; it must not send a request whose deadline has passed meanwhile.
 	now := time.Now()
 	out, err := a.request.newOutgoing(ctx, a.server().Info, now)
@@ -46,6 +46,7 @@
 		a.server().Pool.Drop(conn)
 		return exchange{}, err
 	}
+	a.server().CountSend(kind)
 	resp, err := conn.RoundTrip(out, func(resp *http.Response) bool { return a.request.dialect.answersRequest(resp, a.request.header) })
 	if err != nil {
 		a.server().Pool.Drop(conn)
@@ -89,7 +90,7 @@
 	if err != nil {
 		return
 	}
-	x, err := h.attempt.roundTrip(ctx, conn)
+	x, err := h.attempt.roundTrip(ctx, conn, jybackend.CopySend)
 	if err != nil {
 		return
 	}
--- a/pkg/jynote/service.go
+++ b/pkg/jynote/service.go
@@ -22,6 +22,9 @@
 	DrainMark Mark `json:",omitzero"`
 	// ShedMark matches the responses of a backend server that sheds load.
 	ShedMark Mark `json:",omitzero"`
+	// LimitHeader names the response header in which a backend server states how many requests per second it takes from all
+	// instances together, as a decimal number; empty means none. The limit holds until an answer states another one or none.
+	LimitHeader string `json:",omitempty"`
 }
 
 // Objective is a service-level objective as callers see it.
--- a/scenario/platform_test.go
+++ b/scenario/platform_test.go
@@ -29,52 +29,108 @@
 	caller          jyhoststandin.Caller
 	operatorAddress string
 	process         *exec.Cmd
+	settingsFile    string
 	logFile         string
-	exited          chan struct{}
+	exited          chan struct{} // closed when the process has exited
 	requestCount    int
 }
 
 // startStoreInstance starts an instance in front of the servers, and waits until it is ready.
 func startStoreInstance(t *testing.T, servers ...*jyhoststandin.Server) *storeInstance {
-	in := &storeInstance{t: t, store: jyhoststandin.NewStore(), exited: make(chan struct{})}
+	in := &storeInstance{t: t, store: jyhoststandin.NewStore()}
+	url := serveStore(t, in.store, servers)
+	in.configure(storeInstanceConfig{name: "entry-1", dataCentre: "dc-1", store: url, addresses: freeAddresses(t, "127.0.0.1")})
+	in.start()
+	in.eventually(func() bool { return in.isReady() })
+	return in
+}
+
+// serveStore registers the servers in the store, publishes a configuration, and returns the URL of the store.
+func serveStore(t *testing.T, store *jyhoststandin.Store, servers []*jyhoststandin.Server) string {
 	for _, s := range servers {
 		t.Cleanup(s.Close)
-		s.Register(in.store)
+		s.Register(store)
 	}
-	in.store.PublishConfiguration(3, "s1")
-	front := httptest.NewServer(in.store)
+	store.PublishConfiguration(3, "s1")
+	front := httptest.NewServer(store)
 	t.Cleanup(front.CloseClientConnections)
-	var address [3]string
-	for i := range address {
+	return front.URL
+}
+
+// storeAddresses are the listen addresses of a storeInstance.
+type storeAddresses struct{ caller, peer, operator string }
+
+// freeAddresses returns free addresses on a loopback IP address.
+func freeAddresses(t *testing.T, host string) storeAddresses {
+	var list [3]string
+	for i := range list {
 		free, err := jystandin.FreeAddress()
 		require.NoError(t, err)
-		address[i] = free
+		list[i] = strings.Replace(free, "127.0.0.1", host, 1)
 	}
-	in.caller = jyhoststandin.Caller{Address: address[0], Remaining: 5 * time.Second, Timeout: waitTimeout}
-	in.operatorAddress = address[2]
-	file := filepath.Join(t.TempDir(), "entry.ini")
-	text := fmt.Sprintf("[Instance]\nName = entry-1\nDataCentre = dc-1\nCallerAddress = %s\nPeerAddress = %s\nOperatorAddress = %s\nBalancerNotice = 200ms\n"+
-		"[Platform]\nSource = Store\nConfigurationAddress = %s\n[Peers]\nPlaintextLoopback = true\n[BackendServers]\nPlacing = Loss\nRetryBudgetSlack = 50\nIdleProofOfLife = 5s\n",
-		address[0], address[1], address[2], front.URL)
-	require.NoError(t, os.WriteFile(file, []byte(text), 0o600))
-	in.logFile = filepath.Join(t.TempDir(), "entry.log")
-	out, err := os.Create(in.logFile)
+	return storeAddresses{list[0], list[1], list[2]}
+}
+
+// storeInstanceConfig holds the settings of a storeInstance.
+type storeInstanceConfig struct {
+	name, dataCentre string
+	store            string // URL
+	addresses        storeAddresses
+	seeds            []string // peer addresses
+	signalPort       int      // 0 for none
+}
+
+const storeInstanceSettings = `[Instance]
+Name = %s
+DataCentre = %s
+CallerAddress = %s
+PeerAddress = %s
+OperatorAddress = %s
+BalancerNotice = 200ms
+[Platform]
+Source = Store
+ConfigurationAddress = %s
+[Peers]
+PlaintextLoopback = true
+Seeds = %s
+SignalPort = %d
+[BackendServers]
+Placing = Loss
+RetryBudgetSlack = 50
+IdleProofOfLife = 5s
+`
+
+// configure writes the settings file of the instance and sets its addresses.
+func (in *storeInstance) configure(c storeInstanceConfig) {
+	a := c.addresses
+	in.caller = jyhoststandin.Caller{Address: a.caller, Remaining: 5 * time.Second, Timeout: waitTimeout}
+	in.operatorAddress = a.operator
+	in.settingsFile = filepath.Join(in.t.TempDir(), "entry.ini")
+	in.logFile = filepath.Join(in.t.TempDir(), "entry.log")
+	text := fmt.Sprintf(storeInstanceSettings, c.name, c.dataCentre, a.caller, a.peer, a.operator, c.store, strings.Join(c.seeds, ","), c.signalPort)
+	require.NoError(in.t, os.WriteFile(in.settingsFile, []byte(text), 0o600))
+}
+
+// start starts the process, which is killed when the test ends.
+func (in *storeInstance) start() {
+	t := in.t
+	out, err := os.OpenFile(in.logFile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = out.Close() })
+	in.exited = make(chan struct{})
 	in.process = exec.Command(program, "serve")
-	in.process.Env = append(os.Environ(), "JACKDAWYARD_CONFIG="+file)
+	in.process.Env = append(os.Environ(), "JACKDAWYARD_CONFIG="+in.settingsFile)
 	in.process.Stdout, in.process.Stderr = out, os.Stderr
 	require.NoError(t, in.process.Start())
+	process, exited := in.process, in.exited
 	go func() {
-		_ = in.process.Wait()
-		close(in.exited)
+		_ = process.Wait()
+		close(exited)
 	}()
 	t.Cleanup(func() {
-		_ = in.process.Process.Kill()
-		<-in.exited
+		_ = process.Process.Kill()
+		<-exited
 	})
-	in.eventually(func() bool { return in.isReady() })
-	return in
 }
 
 // eventually fails the test if the condition is not met within waitTimeout.
