Keep the fleet within the limits that backend servers state

Seen by callers: none at first; a server in need that stated 1.5 requests a second got 18 in 4 s, and would have failed next. Cause: no instance read what a server states about the requests that it takes. Such a server neither rejects nor slows, so nothing that the choice of a server learns from changed. Class: a statement of a backend server that only its failures, rejections and delays stand for, and a bound of the whole fleet that no single instance can see. Change: pkg/jyquota divides a limit among few instances near the server, each with about one request a second, so that shares and bursts add up to the limit; an instance spends its share for first attempts, trials, retries and second copies alike. Statements are told to all instances at once, repeated each second, and told to those that start. A limit ends when a request that was sent after it was known is answered without one. Dead instances keep their shares for a minute; an instance cut off from most others gives its own up before. What doesn't fit goes to other servers, or is rejected at once with LimitReached and a time to come back, spread over what the servers take. Two faults of this change were found by its tests before it landed: a bucket that only a taken token started, and ages of statements in milliseconds that let an old limit outlive the news of its end.

--- a/internal/jybackend/coverage.go
+++ b/internal/jybackend/coverage.go
@@ -119,10 +119,9 @@
 	return time.Duration(share * float64(maxTrialLead))
 }
 
-// isAvailable reports whether a trial request may be sent to the server, which means that it is not draining, paused, or
-// skipped as unreachable.
+// isAvailable reports whether a trial request may be sent to the server, which takes requests and is not skipped as unreachable.
 func (s *Server) isAvailable(now time.Time) bool {
-	return !s.isDrainingOrPaused(now) && !s.isSkippedUnreachable(now)
+	return s.takesRequests(now) && !s.isSkippedUnreachable(now)
 }
 
 // isLocal reports whether the server is in this instance's data centre.
--- a/internal/jybackend/directory.go
+++ b/internal/jybackend/directory.go
@@ -8,6 +8,7 @@
 	"github.com/jackdawyard/jackdawyard/pkg/jybelief"
 	"github.com/jackdawyard/jackdawyard/pkg/jydetector"
 	"github.com/jackdawyard/jackdawyard/pkg/jynote"
+	"github.com/jackdawyard/jackdawyard/pkg/jyquota"
 	"github.com/jackdawyard/jackdawyard/pkg/jyretry"
 	"github.com/jackdawyard/jackdawyard/pkg/jyroute"
 	"github.com/jackdawyard/jackdawyard/pkg/jysubset"
@@ -32,6 +33,8 @@
 	Instance   string
 	// CountInstances returns the number of instances that share the backend servers, this one included. It must not be nil.
 	CountInstances func() int
+	// ShareOf returns this instance's share of a limit that a backend server states. It must not be nil.
+	ShareOf ShareFunc
 	// InSameRegion reports whether a data centre is in this instance's region. It must not be nil.
 	InSameRegion func(jynote.DataCentreName) bool
 }
@@ -119,6 +122,14 @@
 	}
 }
 
+// ApplyPeerLimit applies what another instance reported that the server with that hash states about its limit. Unknown hashes are
+// ignored.
+func (s *Snapshot) ApplyPeerLimit(hash uint64, statement jyquota.Statement, from string) {
+	if server := s.byHash[hash]; server != nil {
+		server.applyLimit(statement, from)
+	}
+}
+
 // Service returns the service of that name, or nil if there is none.
 func (s *Snapshot) Service(name jynote.ServiceName) *Service { return s.services[name] }
 
@@ -218,7 +229,7 @@
 	v := &Service{
 		Info: info, latency: newLatency(),
 		byExpectedLoss: d.config.ByExpectedLoss, dataCentre: d.config.DataCentre,
-		retrySlack: d.retryBudgetSlack, observer: d.observer,
+		retrySlack: d.retryBudgetSlack, observer: d.observer, countInstances: d.config.CountInstances,
 		retryBudget: jyretry.NewBudget(d.retryBudgetConfig()), coverage: newCoverage(d.config.LeastUsedShare), contacts: d.contacts,
 	}
 	v.plan = func(servers, connections int) jysubset.Plan {
@@ -255,5 +266,6 @@
 		Info: info, Pool: pool, addedAt: time.Now(),
 		trialLead: trialLeadOf(d.config.Instance, info.Name),
 		notice:    d.notices.forServer(info.Name),
+		shareOf:   d.config.ShareOf,
 	}
 }
--- a/internal/jybackend/limit.go
+++ b/internal/jybackend/limit.go
@@ -2,19 +2,39 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jackdawyard/jackdawyard/internal/jylog"
+	"github.com/jackdawyard/jackdawyard/pkg/jydetector"
+	"github.com/jackdawyard/jackdawyard/pkg/jynote"
 	"github.com/jackdawyard/jackdawyard/pkg/jyquota"
 )
 
-// maxLimitLogLines is the maximum number of log lines per second about each kind of statement about limits.
-const maxLimitLogLines = 10
+// ShareFunc returns this instance's share of a limit that a backend server states. It may be called concurrently.
+type ShareFunc func(s jynote.BackendServer, limit jyquota.Rate) jyquota.Share
 
-// limit holds what one backend server last stated about its limit.
+const (
+	// maxLimitLogLines is the maximum number of log lines per second about each kind of statement about limits.
+	maxLimitLogLines = 10
+	// shareInterval is how long a share is used until it is computed again, for the case that the membership has changed.
+	shareInterval = 250 * time.Millisecond
+	// endedLimitTime is how long after the end of a limit further answers renew the statement and peers are told of it, since
+	// signals may be lost.
+	endedLimitTime = 10 * time.Second
+)
+
+// limit holds what one backend server last stated about its limit, and this instance's use of it.
 type limit struct {
-	mu        sync.Mutex
+	isLimited atomic.Bool // of statement
+	// isRecent says that the server states a limit, or may have done so within endedLimitTime.
+	isRecent  atomic.Bool
+	mu        sync.Mutex // guards the fields below
 	statement jyquota.Statement
+	changedAt time.Time // when the limit last changed
+	bucket    jyquota.Bucket
+	share     jyquota.Share
+	sharedAt  time.Time // when share was computed, or the zero time
 }
 
 // current returns the last statement.
@@ -25,41 +45,156 @@
 }
 
 // apply stores the statement if it is later than the last one, and reports whether the limit changed.
-func (l *limit) apply(s jyquota.Statement) (changed bool) {
+func (l *limit) apply(now time.Time, s jyquota.Statement) (changed bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !s.Supersedes(l.statement) {
 		return false
 	}
 	changed = !s.IsSameLimit(l.statement)
+	if changed {
+		l.sharedAt, l.changedAt = time.Time{}, now
+	}
+	if s.IsLimited && !l.statement.IsLimited {
+		l.bucket = jyquota.Bucket{}
+	}
 	l.statement = s
+	l.isLimited.Store(s.IsLimited)
+	l.isRecent.Store(s.IsLimited || now.Sub(l.changedAt) < endedLimitTime)
 	return changed
 }
 
+// isExpired reports whether the statement of a server that is no longer registered need not be kept.
+func (l *limit) isExpired(now time.Time) bool {
+	return !l.isLimited.Load() || now.Sub(l.current().At) > jydetector.DefaultDrainingTimeout
+}
+
+// updateShare computes the share if it is outdated. The caller must hold mu.
+func (l *limit) updateShare(now time.Time, s *Server) {
+	if age := now.Sub(l.sharedAt); l.sharedAt.IsZero() || age < 0 || age > shareInterval {
+		l.share, l.sharedAt = s.shareOf(s.Info, l.statement.Limit), now
+	}
+}
+
 // Limit returns the requests per second that the server takes from all instances together, or false if it states no limit.
 func (s *Server) Limit() (jyquota.Rate, bool) {
-	statement := s.notice.limit.current()
+	statement := s.LimitStatement()
 	return statement.Limit, statement.IsLimited
 }
 
+// LimitStatement returns what the server last stated about its limit, as far as this instance knows.
+func (s *Server) LimitStatement() jyquota.Statement { return s.notice.limit.current() }
+
+// HadLimitRecently reports whether the server states a limit, or stopped to do so within endedLimitTime.
+func (s *Server) HadLimitRecently(now time.Time) bool {
+	l := &s.notice.limit
+	if !l.isRecent.Load() {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.statement.IsLimited || now.Sub(l.changedAt) < endedLimitTime
+}
+
+// hasQuota reports whether this instance may send the server a request under its limit.
+func (s *Server) hasQuota(now time.Time) bool {
+	l := &s.notice.limit
+	if !l.isLimited.Load() {
+		return true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.updateShare(now, s)
+	return l.bucket.Has(now, l.share)
+}
+
+// TakeQuota counts a request against this instance's share of the server's limit, and reports whether it may be sent.
+func (s *Server) TakeQuota(now time.Time) bool {
+	l := &s.notice.limit
+	if !l.isLimited.Load() {
+		return true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.updateShare(now, s)
+	return l.bucket.Take(now, l.share)
+}
+
 // RecordLimit records that an answer, which arrived at now, stated a limit.
-func (s *Server) RecordLimit(now time.Time, rate jyquota.Rate) {
-	s.applyLimit(jyquota.Statement{IsLimited: true, Limit: rate, At: now}, localSource)
+func (v *Service) RecordLimit(s *Server, now time.Time, rate jyquota.Rate) {
+	v.recordStatement(s, jyquota.Statement{IsLimited: true, Limit: rate, At: now})
 }
 
 // RecordNoLimit records that the answer to a request that was sent at sent stated no limit.
-func (s *Server) RecordNoLimit(sent time.Time) {
-	s.applyLimit(jyquota.Statement{At: sent}, localSource)
+func (v *Service) RecordNoLimit(s *Server, sent time.Time) {
+	if s.notice.limit.isRecent.Load() {
+		v.recordStatement(s, jyquota.Statement{At: sent})
+	}
+}
+
+func (v *Service) recordStatement(s *Server, statement jyquota.Statement) {
+	if s.applyLimit(statement, localSource) && v.observer != nil {
+		v.observer.LimitChanged(s)
+	}
 }
 
-// applyLimit applies a statement of the server, where source is localSource or the name of the instance that reported it.
-func (s *Server) applyLimit(statement jyquota.Statement, source string) {
-	if !s.notice.limit.apply(statement) {
-		return
+// applyLimit applies a statement of the server, where source is localSource or the name of the instance that reported it. It reports
+// whether the limit changed.
+func (s *Server) applyLimit(statement jyquota.Statement, source string) bool {
+	if !s.notice.limit.apply(time.Now(), statement) {
+		return false
 	}
 	if statement.IsLimited {
 		jylog.ServerLimitStated.LogAtMost(maxLimitLogLines, s.Info.Service, s.Info.Name, float64(statement.Limit), source)
-		return
+	} else {
+		jylog.ServerLimitEnded.LogAtMost(maxLimitLogLines, s.Info.Service, s.Info.Name, source)
+	}
+	return true
+}
+
+// LimitedRate returns the requests per second that the service's servers take from all instances together, if each of them that is
+// neither draining nor paused states a limit. Otherwise it returns 0.
+func (v *Service) LimitedRate(now time.Time) jyquota.Rate {
+	sum := jyquota.Rate(0)
+	for _, s := range v.Servers {
+		if s.IsDraining(now) || s.PauseRemaining(now) > 0 {
+			continue
+		}
+		rate, isLimited := s.Limit()
+		if !isLimited {
+			return 0
+		}
+		sum += rate.Applied()
+	}
+	return sum
+}
+
+// RetryAfter returns after how long a rejected caller should come back, if each server that is not draining is paused or states a
+// limit. Otherwise it returns 0. Callers that are rejected for the limits are spread over the time in which they can be served.
+func (v *Service) RetryAfter(now time.Time) time.Duration {
+	if rate := v.LimitedRate(now); rate > 0 {
+		v.mu.Lock()
+		defer v.mu.Unlock()
+		return v.returns.Next(now, rate/jyquota.Rate(max(1, v.countInstances())))
+	}
+	return v.timeUntilPauseEnds(now)
+}
+
+// timeUntilPauseEnds returns the time until the first pause ends if each server that is not draining is paused. Otherwise it
+// returns 0.
+func (v *Service) timeUntilPauseEnds(now time.Time) time.Duration {
+	first := time.Duration(0)
+	for _, s := range v.Servers {
+		if s.IsDraining(now) {
+			continue
+		}
+		d := s.PauseRemaining(now)
+		if d == 0 {
+			return 0
+		}
+		if first == 0 || d < first {
+			first = d
+		}
 	}
-	jylog.ServerLimitEnded.LogAtMost(maxLimitLogLines, s.Info.Service, s.Info.Name, source)
+	return first
 }
--- a/internal/jybackend/loss.go
+++ b/internal/jybackend/loss.go
@@ -23,6 +23,26 @@
 		ServiceTime: v.latency.serviceTimeOr(r.Objective / unknownServiceTimeDivisor),
 		Objective:   r.Objective, IsRetryable: r.IsRetryable,
 	}
+	for range maxChoices {
+		chosen, ok := v.placeByExpectedLoss(now, r, request)
+		if !ok {
+			break
+		}
+		if !chosen.Server.TakeQuota(now) {
+			continue
+		}
+		chosen.Server.inFlight.Add(1)
+		chosen.Server.recordRequestSent(now)
+		if v.observer != nil {
+			v.observer.Started(chosen.Server)
+		}
+		return chosen, nil
+	}
+	return Placement{}, jyfault.New("choose backend server", NoServer, "service %s", v.Info.Name)
+}
+
+// placeByExpectedLoss returns the server with the lowest expected loss, or false if all are excluded.
+func (v *Service) placeByExpectedLoss(now time.Time, r Requirements, request jyplace.Request) (Placement, bool) {
 	due := v.dueTrials(now, r.IsRetryable)
 	isDue := func(i int) bool { return due != nil && due[i] }
 	i := jyplace.Choose(len(v.Servers), func(i int) jyplace.Candidate {
@@ -31,22 +51,16 @@
 		return c
 	}, request, rand.Float64)
 	if i == jyplace.None {
-		return Placement{}, jyfault.New("choose backend server", NoServer, "service %s", v.Info.Name)
+		return Placement{}, false
 	}
 	s := v.Servers[i]
-	chosen := Placement{Server: s, Load: s.load(now), FailChance: s.health.failureEstimate(now).failChance, IsTrial: isDue(i)}
-	s.inFlight.Add(1)
-	s.recordRequestSent(now)
-	if v.observer != nil {
-		v.observer.Started(s)
-	}
-	return chosen, nil
+	return Placement{Server: s, Load: s.load(now), FailChance: s.health.failureEstimate(now).failChance, IsTrial: isDue(i)}, true
 }
 
 // candidate returns what this instance knows about the server, for a request with these requirements.
 func (v *Service) candidate(now time.Time, s *Server, r Requirements) jyplace.Candidate {
 	c := jyplace.Candidate{InFlight: float64(s.load(now)), Slots: s.Info.Slots, IdleTime: now.Sub(s.lastRequestAt())}
-	c.IsExcluded = r.excludes(s) || s.isDrainingOrPaused(now) || s.InFlight() >= maxInFlightPerSlot*s.Info.Slots
+	c.IsExcluded = r.excludes(s) || !s.takesRequests(now) || s.InFlight() >= maxInFlightPerSlot*s.Info.Slots
 	if c.IsExcluded {
 		return c
 	}
--- a/internal/jybackend/notices.go
+++ b/internal/jybackend/notices.go
@@ -8,11 +8,11 @@
 	"github.com/jackdawyard/jackdawyard/pkg/jynote"
 )
 
-// notice holds what one backend server stated about itself in answers to this instance.
+// notice holds what one backend server stated about itself in answers.
 type notice struct {
 	drainingUntil atomic.Int64 // until when it counts as draining, in nanoseconds since the epoch
 	pausedUntil   atomic.Int64 // until when it wants no requests, in nanoseconds since the epoch
-	limit         limit
+	limit         limit        // what it stated in answers to any instance
 }
 
 // isDraining reports whether the server counts as draining.
@@ -49,7 +49,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for name, v := range n.byName {
-		if !current[name] && !v.isDraining(now) && v.pauseRemaining(now) == 0 {
+		if !current[name] && !v.isDraining(now) && v.pauseRemaining(now) == 0 && v.limit.isExpired(now) {
 			delete(n.byName, name)
 		}
 	}
--- a/internal/jybackend/notices_test.go
+++ b/internal/jybackend/notices_test.go
@@ -45,7 +45,7 @@
 	}
 }
 
-func TestTimeUntilAvailable(t *testing.T) {
+func TestRejectedCallersComeBackWhenTheFirstPauseEnds(t *testing.T) {
 	now := time.Now()
 	tests := map[string]struct {
 		pauses   []time.Duration // of the first servers
@@ -66,7 +66,7 @@
 			for _, s := range v.Servers[len(v.Servers)-tt.draining:] {
 				s.MarkDraining(now)
 			}
-			assert.Equal(t, tt.want, v.TimeUntilAvailable(now))
+			assert.Equal(t, tt.want, v.RetryAfter(now))
 		})
 	}
 }
--- a/internal/jybackend/server.go
+++ b/internal/jybackend/server.go
@@ -25,6 +25,7 @@
 	failures         atomic.Uint64
 	slowAnswers      atomic.Uint64
 	notice           *notice
+	shareOf          ShareFunc
 	consecutiveLost  atomic.Int32 // connections lost since the last answer
 	skippedUntil     atomic.Int64 // until when it is skipped as unreachable, in nanoseconds since the epoch
 	health           health
@@ -76,9 +77,10 @@
 // PauseRemaining returns for how much longer the server wants no requests from this instance, or 0.
 func (s *Server) PauseRemaining(now time.Time) time.Duration { return s.notice.pauseRemaining(now) }
 
-// isDrainingOrPaused reports whether the server must get no request from this instance.
-func (s *Server) isDrainingOrPaused(now time.Time) bool {
-	return s.IsDraining(now) || s.PauseRemaining(now) > 0
+// takesRequests reports whether this instance may send the server a request: it is neither draining nor paused, and this
+// instance's share of its limit is not used up.
+func (s *Server) takesRequests(now time.Time) bool {
+	return !s.IsDraining(now) && s.PauseRemaining(now) == 0 && s.hasQuota(now)
 }
 
 // IsDraining reports whether the server stated recently that it is draining. The statement expires after
@@ -113,6 +115,8 @@
 	Started(s *Server)
 	// Ended is called when a request ended or its answer became overdue. The outcome counts only if isEvidence is true.
 	Ended(s *Server, o jybelief.Outcome, isEvidence bool)
+	// LimitChanged is called when an answer to this instance changed what is known about the server's limit.
+	LimitChanged(s *Server)
 	// Unserved is called when a request ended without being served, and this server was the last one tried.
 	Unserved(s *Server)
 }
--- a/internal/jybackend/service.go
+++ b/internal/jybackend/service.go
@@ -11,6 +11,7 @@
 	"github.com/jackdawyard/jackdawyard/pkg/jyfloor"
 	"github.com/jackdawyard/jackdawyard/pkg/jynote"
 	"github.com/jackdawyard/jackdawyard/pkg/jyplace"
+	"github.com/jackdawyard/jackdawyard/pkg/jyquota"
 	"github.com/jackdawyard/jackdawyard/pkg/jyretry"
 	"github.com/jackdawyard/jackdawyard/pkg/jyslot"
 	"github.com/jackdawyard/jackdawyard/pkg/jysubset"
@@ -39,16 +40,19 @@
 	centreOf    []int
 	contacts    *centreContacts
 	// subset holds the assessments of the servers that this instance uses, and assessments those of all servers.
-	subset        atomic.Pointer[[]assessment]
-	assessments   atomic.Pointer[[]assessment]
-	plan          func(servers, connections int) jysubset.Plan // by the current number of instances
-	maxInFlight   atomic.Int32                                 // maximum number of this instance's requests at one server
-	mu            sync.Mutex                                   // guards the fields below
-	retryBudget   *jyretry.Budget
-	shedModel     jyplace.ShedModel
-	retrySlack    func() float64
-	fleetVerdicts []jydetector.Verdict
-	localVerdicts []jydetector.Verdict
+	subset      atomic.Pointer[[]assessment]
+	assessments atomic.Pointer[[]assessment]
+	plan        func(servers, connections int) jysubset.Plan // by the current number of instances
+	maxInFlight atomic.Int32                                 // maximum number of this instance's requests at one server
+	mu          sync.Mutex                                   // guards the fields below
+	retryBudget *jyretry.Budget
+	shedModel   jyplace.ShedModel
+	returns     jyquota.Returns
+	retrySlack  func() float64
+	// countInstances returns the number of instances that share the backend servers.
+	countInstances func() int
+	fleetVerdicts  []jydetector.Verdict
+	localVerdicts  []jydetector.Verdict
 }
 
 // assessment holds a server's health state. Lists of assessments are immutable once they are stored.
@@ -122,6 +126,9 @@
 // hasSlot reports whether the server had a free slot as far as known, so that the request did not wait for one.
 func (p Placement) hasSlot() bool { return p.Load < p.Server.Info.Slots }
 
+// maxChoices is how often a server is chosen for one attempt: other requests may meanwhile bring the chosen one to its limits.
+const maxChoices = 3
+
 // Choose picks a backend server and counts the request as in flight there until the caller calls Server.Release. Its error is of
 // kind NoServer.
 func (v *Service) Choose(now time.Time, r Requirements) (Placement, error) {
@@ -130,14 +137,13 @@
 	}
 	subset := *v.subset.Load()
 	at := func(i int) jyslot.Candidate { return subset[i].candidate(now, r, v.inFlightLimit(subset[i].server)) }
-	// Other goroutines may meanwhile bring the chosen server to its limit, so the choice is made up to three times.
-	for range 3 {
+	for range maxChoices {
 		i := jyslot.Choose(len(subset), at, rand.Uint64(), rand.Uint64())
 		if i == jyslot.None {
 			break
 		}
 		s := subset[i].server
-		if int(s.inFlight.Add(1)) <= v.inFlightLimit(s) {
+		if int(s.inFlight.Add(1)) <= v.inFlightLimit(s) && s.TakeQuota(now) {
 			return Placement{Server: s}, nil
 		}
 		s.inFlight.Add(-1)
@@ -145,25 +151,6 @@
 	return Placement{}, jyfault.New("choose backend server", NoServer, "service %s", v.Info.Name)
 }
 
-// TimeUntilAvailable returns the time until the first pause ends if each server that is not draining is paused. Otherwise it
-// returns 0.
-func (v *Service) TimeUntilAvailable(now time.Time) time.Duration {
-	first := time.Duration(0)
-	for _, s := range v.Servers {
-		if s.IsDraining(now) {
-			continue
-		}
-		d := s.PauseRemaining(now)
-		if d == 0 {
-			return 0
-		}
-		if first == 0 || d < first {
-			first = d
-		}
-	}
-	return first
-}
-
 // Release ends a request that Choose counted as in flight at the server.
 func (s *Server) Release() { s.inFlight.Add(-1) }
 
@@ -185,7 +172,7 @@
 
 // weight returns the share of full load, from 0 to 1, that the server may get now.
 func (a assessment) weight(now time.Time, idempotent bool) float64 {
-	if a.state == jyfloor.Draining || a.server.isDrainingOrPaused(now) {
+	if a.state == jyfloor.Draining || !a.server.takesRequests(now) {
 		return 0
 	}
 	if a.readmitted {
--- a/internal/jyexplain/explain.go
+++ b/internal/jyexplain/explain.go
@@ -20,6 +20,7 @@
 	string(jyoutcome.AnswerLost):        "the request was sent, but the connection ended or returned no complete answer; it may have run",
 	string(jyoutcome.DeadlinePassed):    "the deadline of the route or of the caller passed",
 	string(jyoutcome.Overloaded):        "the instance was full, or no backend server or connection was free; the request did not run",
+	string(jyoutcome.LimitReached):      "each backend server that could run it was at the limit that it stated; the request did not run",
 	string(jyoutcome.NoBackendServer):   "no backend server of the service was usable; the request did not run",
 	string(jyoutcome.DeclaredNotRun):    "each backend server that was tried declared that it did not run the request",
 	string(jyoutcome.ConnectFailed):     "no connection could be opened; the request did not run",
--- a/internal/jyfleet/view.go
+++ b/internal/jyfleet/view.go
@@ -29,6 +29,13 @@
 	return f.table.WorkingCount()
 }
 
+// Presences returns this instance and all others that have not left, in no particular order.
+func (f *Fleet) Presences() []jymember.Presence {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.table.Presences(time.Now())
+}
+
 // Members returns all other known instances in any state, sorted by name.
 func (f *Fleet) Members() []jymember.Member {
 	f.mu.Lock()
--- a/internal/jynode/node.go
+++ b/internal/jynode/node.go
@@ -95,6 +95,7 @@
 		RetryBudgetShare: s.RetryBudgetShare, RetryBudgetSlack: n.retrySlack,
 		ByExpectedLoss: s.Placing == jysettings.PlacementLoss, LeastUsedShare: s.LeastUsedShare, DataCentre: s.DataCentre,
 		Instance: s.Name, CountInstances: n.instanceCount, InSameRegion: n.isInSameRegion,
+		ShareOf: (&limitShares{node: n}).shareOf,
 	})
 	n.burn = jyreport.NewBurnRecorder(n.directory, n.metrics)
 	clients := jypeer.NewClients(credentials)
--- a/internal/jyproxy/dialect.go
+++ b/internal/jyproxy/dialect.go
@@ -40,13 +40,16 @@
 	if d.RejectEncodedAnswers && resp.Header.Get("Content-Encoding") != "" {
 		return false
 	}
-	isSuccess := resp.StatusCode >= http.StatusOK && resp.StatusCode < http.StatusMultipleChoices
-	return !isSuccess || d.isSigned(resp)
+	return !isSuccess(resp) || d.SignatureHeader == "" || resp.Header.Get(d.SignatureHeader) != ""
 }
 
-// isSigned reports whether an answer has the signature that shows that it comes from the backend server, if one is required.
-func (d Dialect) isSigned(resp *http.Response) bool {
-	return d.SignatureHeader == "" || resp.Header.Get(d.SignatureHeader) != ""
+// isSignedSuccess reports whether an answer is a success of the backend server itself.
+func (d Dialect) isSignedSuccess(resp *http.Response) bool {
+	return isSuccess(resp) && d.acceptsHead(resp)
+}
+
+func isSuccess(resp *http.Response) bool {
+	return resp.StatusCode >= http.StatusOK && resp.StatusCode < http.StatusMultipleChoices
 }
 
 // answersRequest reports whether resp answers the request that has these headers. An answer without RequestIDHeader is assumed to.
--- a/internal/jyproxy/exchange.go
+++ b/internal/jyproxy/exchange.go
@@ -75,14 +75,14 @@
 	cancel    context.CancelFunc
 }
 
-// run sends the second copy, if the retry budget allows it, and cancels the first copy once the second is answered.
+// run sends the second copy, if the server's limit and the retry budget allow it, and cancels the first copy once the second is answered.
 func (h *hedge) run(ctx context.Context) {
 	defer close(h.done)
 	ctx, ok := h.start(ctx)
 	if !ok {
 		return
 	}
-	if !h.attempt.request.service.TakeRetry() {
+	if !h.attempt.server().TakeQuota(time.Now()) || !h.attempt.request.service.TakeRetry() {
 		return
 	}
 	pool := h.attempt.server().Pool
--- a/internal/jyproxy/forwarder.go
+++ b/internal/jyproxy/forwarder.go
@@ -160,11 +160,10 @@
 	return &refusal
 }
 
-// refusalWithoutServer returns the refusal of a request for which no server is left. If all servers asked for a pause, its
-// RetryAfter is the time until the first pause ends.
+// refusalWithoutServer returns the refusal of a request for which no server is left.
 func (f *Forwarder) refusalWithoutServer(now time.Time, r *request) *jyoutcome.Refusal {
-	refusal := f.refusalWithReason(r, cmp.Or(r.lastReason, noServerReason(r.service)))
-	refusal.RetryAfter = cmp.Or(r.service.TimeUntilAvailable(now), refusal.RetryAfter)
+	refusal := f.refusalWithReason(r, cmp.Or(r.lastReason, noServerReason(now, r.service)))
+	refusal.RetryAfter = cmp.Or(r.service.RetryAfter(now), refusal.RetryAfter)
 	return refusal
 }
 
@@ -189,8 +188,12 @@
 	}
 }
 
-// noServerReason returns the reason for a request that gets no first attempt: its service has no usable servers, or none is free.
-func noServerReason(v *jybackend.Service) jyoutcome.Reason {
+// noServerReason returns the reason for a request that gets no first attempt: its service has no usable servers, none is free, or
+// all are at the limits that they state.
+func noServerReason(now time.Time, v *jybackend.Service) jyoutcome.Reason {
+	if v.LimitedRate(now) > 0 {
+		return jyoutcome.LimitReached
+	}
 	if v.Capacity().UsableSlots > 0 {
 		return jyoutcome.Overloaded
 	}
--- a/internal/jyproxy/limit.go
+++ b/internal/jyproxy/limit.go
@@ -14,7 +14,7 @@
 const maxMalformedLogLines = 5
 
 // recordLimit records the limit that the server states in an answer, or that it states none. An answer with status 421 comes from
-// another server at the same address, and an answer without a signature need not come from the server, so neither ends a limit.
+// another server at the same address. Only a signed success ends a limit: another answer without one need not come from the server.
 func (a *attempt) recordLimit(resp *http.Response) {
 	service := a.request.match.Service
 	if service.LimitHeader == "" || resp.StatusCode == http.StatusMisdirectedRequest {
@@ -22,8 +22,8 @@
 	}
 	values := resp.Header.Values(service.LimitHeader)
 	if len(values) == 0 {
-		if a.request.dialect.isSigned(resp) && a.request.dialect.acceptsHead(resp) {
-			a.server().RecordNoLimit(a.started)
+		if a.request.dialect.isSignedSuccess(resp) {
+			a.request.service.RecordNoLimit(a.server(), a.started)
 		}
 		return
 	}
@@ -32,7 +32,7 @@
 		jylog.ServerLimitMalformed.LogAtMost(maxMalformedLogLines, service.Name, a.server().Info.Name, err)
 		return
 	}
-	a.server().RecordLimit(time.Now(), rate)
+	a.request.service.RecordLimit(a.server(), time.Now(), rate)
 }
 
 // parseLimit returns the limit that the values of a header state. Its errors are of kind jyquota.Malformed.
--- a/internal/jysignal/catch_up.go
+++ b/internal/jysignal/catch_up.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/jackdawyard/jackdawyard/internal/jybackend"
 	"github.com/jackdawyard/jackdawyard/internal/jykernel"
 	"github.com/jackdawyard/jackdawyard/internal/jywire"
 )
@@ -17,12 +18,12 @@
 	catchUpTime     = 3 * time.Second
 )
 
-// catchUp asks the first peers that become known in the local data centre for their views of all servers. It returns after
-// catchUpPeers peers, after catchUpTime or when ctx ends.
+// catchUp asks the first peers that become known for their views of all servers and the servers' limits. Peers in other data
+// centres are asked only if none is known in this one. It returns after catchUpPeers peers, after catchUpTime or when ctx ends.
 func (s *Signals) catchUp(ctx context.Context) {
 	asked := map[netip.AddrPort]bool{}
 	for until := time.Now().Add(catchUpTime); ctx.Err() == nil && len(asked) < catchUpPeers && time.Now().Before(until); {
-		for _, address := range s.peers.localPeers() {
+		for _, address := range s.peers.nearestPeers() {
 			if asked[address] || len(asked) == catchUpPeers {
 				continue
 			}
@@ -35,7 +36,7 @@
 	}
 }
 
-// sendAllViews sends a peer the views of all servers on which this instance has any evidence.
+// sendAllViews sends a peer the views of all servers on which this instance has any evidence, and the limits that servers state.
 func (s *Signals) sendAllViews(now time.Time, to netip.AddrPort) {
 	var list []*jywire.ServerView
 	for _, v := range s.config.Directory.Snapshot().Services() {
@@ -47,7 +48,9 @@
 			list = append(list, toServerView(server.Hash(), load, gray))
 		}
 	}
-	for _, m := range s.splitViews(list, nil) {
+	all := func(*jybackend.Server) bool { return true }
+	signals := append(s.splitViews(list, nil), s.splitLimits(s.knownLimits(now, all))...)
+	for _, m := range signals {
 		s.sendTo(m, []netip.AddrPort{to})
 	}
 }
--- a/internal/jysignal/catch_up_test.go
+++ b/internal/jysignal/catch_up_test.go
@@ -17,11 +17,14 @@
 	"github.com/jackdawyard/jackdawyard/pkg/jynote"
 )
 
-// fleet is a membership of two instances.
-type fleet struct{ self, other jymember.Member }
+// fleet is a membership that does not change.
+type fleet struct {
+	self   jymember.Member
+	others []jymember.Member
+}
 
 func (f fleet) Self() jymember.Member      { return f.self }
-func (f fleet) Working() []jymember.Member { return []jymember.Member{f.self, f.other} }
+func (f fleet) Working() []jymember.Member { return append([]jymember.Member{f.self}, f.others...) }
 func (f fleet) MembershipVersion() uint64  { return 1 }
 
 func member(address string) jymember.Member {
@@ -34,11 +37,15 @@
 		CountInstances: func() int { return 2 },
 		InSameRegion:   func(jynote.DataCentreName) bool { return true },
 	})
+	return d
+}
+
+// applyState applies a state with one server.
+func applyState(d *jybackend.Directory) {
 	d.Apply(jynote.State{
 		Number: 1, Services: []jynote.Service{{Name: "s", DeadlineMilliseconds: 1000}},
 		BackendServers: []jynote.BackendServer{{Name: "a", Service: "s", Address: "127.0.0.1:1", DataCentre: "one", Slots: 2, Connections: 300}},
 	})
-	return d
 }
 
 // freePort returns the address of a UDP port that was free at 127.0.0.2.
@@ -49,12 +56,18 @@
 	return netip.MustParseAddrPort(conn.LocalAddr().String())
 }
 
-// start runs an instance at address self whose only peer is at address other, and returns its directory.
-func start(t *testing.T, self, other string, port uint16) *jybackend.Directory {
+// start runs an instance at address self with peers at the other addresses, and returns its directory.
+func start(t *testing.T, port uint16, self string, others ...string) *jybackend.Directory {
 	d := newDirectory("one")
 	listen := netip.AddrPortFrom(netip.MustParseAddr(self), port)
-	s, err := jysignal.New(jysignal.Config{Listen: listen.String(), Fleet: fleet{self: member(self), other: member(other)}, Directory: d})
+	members := fleet{self: member(self)}
+	for _, other := range others {
+		members.others = append(members.others, member(other))
+	}
+	s, err := jysignal.New(jysignal.Config{Listen: listen.String(), Fleet: members, Directory: d})
 	require.NoError(t, err)
+	d.SetObserver(s)
+	applyState(d)
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan error, 1)
 	go func() { ended <- s.Run(ctx) }()
@@ -73,7 +86,7 @@
 func TestANewInstanceReceivesTheViewsOfItsPeers(t *testing.T) {
 	const first, second = "127.0.0.2", "127.0.0.3"
 	port := freePort(t).Port()
-	running := start(t, first, second, port)
+	running := start(t, port, first, second)
 	var failed jybelief.Counts
 	failed[jybelief.FailedEarly] = 2
 	snapshot := running.Snapshot()
@@ -82,6 +95,6 @@
 		jybackend.PeerReport{Outcomes: failed, IsLocal: true})
 	require.Greater(t, grayChance(running), 0.9)
 
-	started := start(t, second, first, port)
+	started := start(t, port, second, first)
 	assert.Eventually(t, func() bool { return grayChance(started) > 0.9 }, 10*time.Second, 5*time.Millisecond)
 }
--- /dev/null
+++ b/internal/jysignal/limits_test.go
@@ -0,0 +1,47 @@
+package jysignal_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/jackdawyard/jackdawyard/internal/jybackend"
+	"github.com/jackdawyard/jackdawyard/pkg/jyquota"
+)
+
+// recordLimit records what an answer to an instance stated.
+func recordLimit(d *jybackend.Directory, isLimited bool, limit jyquota.Rate) {
+	v, s := d.Snapshot().Service("s"), d.Snapshot().Server("s", "a")
+	if !isLimited {
+		v.RecordNoLimit(s, time.Now())
+		return
+	}
+	v.RecordLimit(s, time.Now(), limit)
+}
+
+func hasLimit(d *jybackend.Directory, limit jyquota.Rate) func() bool {
+	return func() bool {
+		got, isLimited := d.Snapshot().Server("s", "a").Limit()
+		return isLimited == (limit > 0) && got == limit
+	}
+}
+
+func TestAllInstancesKnowWhatAServerStatesAboutItsLimit(t *testing.T) {
+	const first, second, third = "127.0.0.2", "127.0.0.3", "127.0.0.4"
+	const patience, poll = 10 * time.Second, 5 * time.Millisecond
+	port := freePort(t).Port()
+	one, two := start(t, port, first, second, third), start(t, port, second, first, third)
+	recordLimit(one, true, 1.5)
+	assert.Eventually(t, hasLimit(two, 1.5), patience, poll, "a limit is told")
+	recordLimit(two, true, 0.25)
+	assert.Eventually(t, hasLimit(one, 0.25), patience, poll, "a change of it is told")
+	three := start(t, port, third, first, second)
+	assert.Eventually(t, hasLimit(three, 0.25), patience, poll, "an instance that starts is told")
+	for name, d := range map[string]*jybackend.Directory{"second": two, "third": three} {
+		assert.Eventually(t, func() bool {
+			recordLimit(one, false, 0)
+			return hasLimit(d, 0)()
+		}, patience, poll, "its end is told to the %s instance", name)
+	}
+}
--- a/internal/jysignal/peers.go
+++ b/internal/jysignal/peers.go
@@ -44,6 +44,19 @@
 	return out
 }
 
+// nearestPeers returns the addresses of the other instances in this data centre or, if there are none, of one instance of each
+// other data centre.
+func (p *peers) nearestPeers() []netip.AddrPort {
+	if local := p.localPeers(); len(local) > 0 {
+		return local
+	}
+	var out []netip.AddrPort
+	for _, list := range p.relays(1) {
+		out = append(out, list...)
+	}
+	return out
+}
+
 // isRepresentative reports whether this instance sends its data centre's views to the other data centres.
 func (p *peers) isRepresentative() bool {
 	p.mu.Lock()
--- a/internal/jysignal/pending.go
+++ b/internal/jysignal/pending.go
@@ -11,6 +11,8 @@
 type pendingUpdate struct {
 	outcomes jybelief.Counts
 	unserved uint32 // requests that ended without being served; each counts at the last server that it was sent to
+	// limitChanged says that answers changed what is known about the server's limit.
+	limitChanged bool
 }
 
 // pendingUpdates collects the updates that were not sent yet. Its size is bounded, since it has one entry per server.
@@ -18,7 +20,7 @@
 	mu      sync.Mutex
 	updates map[*jybackend.Server]pendingUpdate
 	ready   chan struct{} // notified of each update
-	// urgent is also notified if the update holds a failure.
+	// urgent is also notified if the update holds a failure or a changed limit.
 	urgent chan struct{}
 }
 
@@ -49,6 +51,17 @@
 	notify(p.ready)
 }
 
+// addLimitChange records that what is known about the server's limit changed.
+func (p *pendingUpdates) addLimitChange(s *jybackend.Server) {
+	p.mu.Lock()
+	u := p.updates[s]
+	u.limitChanged = true
+	p.updates[s] = u
+	p.mu.Unlock()
+	notify(p.ready)
+	notify(p.urgent)
+}
+
 // notify wakes the receiver of c; a notification that is already queued covers this one.
 func notify(c chan struct{}) {
 	select {
--- a/internal/jysignal/send.go
+++ b/internal/jysignal/send.go
@@ -51,15 +51,20 @@
 	}
 }
 
-// sendUpdates sends all updates to the local peers. Updates with failures also go to all other data centres. The rest also go to
-// the data centre of the server.
+// sendUpdates sends all updates to the local peers. Updates with failures, and changed limits, also go to all other data centres.
+// The rest also go to the data centre of the server.
 func (s *Signals) sendUpdates(updates map[*jybackend.Server]pendingUpdate) {
 	var signals, failed []*jywire.ServerSignal
+	var limits []*jywire.ServerLimit
+	now := time.Now()
 	remote := map[string][]*jywire.ServerSignal{}
 	for server, u := range updates {
 		c := u.outcomes
 		signal := toServerSignal(server, u)
 		signals = append(signals, signal)
+		if u.limitChanged {
+			limits = append(limits, toServerLimit(now, server))
+		}
 		centre := string(server.Info.DataCentre)
 		switch {
 		case c.Failures() > 0:
@@ -77,6 +82,7 @@
 			s.sendTo(m, to)
 		}
 	}
+	s.sendLimits(limits)
 	relays := s.peers.relays(1)
 	for centre, part := range remote {
 		for _, m := range s.splitSignals(part) {
@@ -110,8 +116,8 @@
 	return &jywire.Signal{Sender: string(s.self.Name), Boot: uint64(s.self.Boot), Sequence: s.sequence.Add(1), DataCentre: s.self.DataCentre}
 }
 
-// sendViews sends the changed views of this data centre's servers, and the request counts of the services, to the local peers
-// and to the other data centres. It does nothing unless this instance is the representative of its data centre.
+// sendViews sends the changed views and the limits of this data centre's servers, and the request counts of the services, to the
+// local peers and to the other data centres. It does nothing unless this instance is the representative of its data centre.
 func (s *Signals) sendViews(now time.Time) {
 	if !s.peers.isRepresentative() {
 		return
@@ -131,6 +137,10 @@
 			}
 		}
 	}
+	if now.Sub(s.limitsSentAt) >= viewResendInterval {
+		s.limitsSentAt = now
+		s.sendLimits(s.knownLimits(now, func(server *jybackend.Server) bool { return string(server.Info.DataCentre) == s.self.DataCentre }))
+	}
 	for _, m := range s.splitViews(list, services) {
 		s.sendTo(m, s.peers.localPeers())
 		m.Forward = true
--- a/internal/jysignal/signals.go
+++ b/internal/jysignal/signals.go
@@ -57,6 +57,8 @@
 	windows  map[string]*window // by sender; used by the receiving goroutine alone
 	sequence atomic.Uint64
 	lastSent map[uint64]sentView // by server hash; used by the sending goroutine alone
+	// limitsSentAt is when all limits were last sent; used by the sending goroutine alone.
+	limitsSentAt time.Time
 }
 
 // New opens the UDP socket. It fails with an error of kind NoAddress if c.Listen is malformed or cannot be bound.
@@ -88,6 +90,9 @@
 	s.pending.add(server, c)
 }
 
+// LimitChanged records that answers changed what is known about the server's limit, which all data centres are told at once.
+func (s *Signals) LimitChanged(server *jybackend.Server) { s.pending.addLimitChange(server) }
+
 // Unserved records that a request ended without being served; the server is the last one that it was sent to.
 func (s *Signals) Unserved(server *jybackend.Server) { s.pending.addUnserved(server) }
 
@@ -162,6 +167,7 @@
 			snapshot.ApplyRemoteCounts(now, v.GetService(), jybackend.RequestCounts{Served: v.GetServed(), Unserved: v.GetUnserved()})
 		}
 	}
+	applyLimits(now, snapshot, m)
 	for _, v := range m.GetViews() {
 		snapshot.ApplyRemoteView(now, v.GetServer(), int(v.GetLoad()), float64(v.GetGrayPerMille())/perMille)
 	}
--- a/pkg/jymember/table.go
+++ b/pkg/jymember/table.go
@@ -106,6 +106,28 @@
 	return out
 }
 
+// Presence is a member that has not left.
+type Presence struct {
+	Member
+	// DeadFor is how long the member has been Dead, and at least 1 ns then; 0 means that it is Alive or Suspect.
+	DeadFor time.Duration
+}
+
+// Presences returns this instance and all others that have not left, in no particular order.
+func (t *Table) Presences(now time.Time) []Presence {
+	out := []Presence{{Member: t.self}}
+	for _, n := range t.names {
+		e := t.entries[n]
+		switch e.Status {
+		case Alive, Suspect:
+			out = append(out, Presence{Member: e.Member})
+		case Dead:
+			out = append(out, Presence{Member: e.Member, DeadFor: max(1, now.Sub(e.statusSince))})
+		}
+	}
+	return out
+}
+
 // WorkingCount returns the number of instances that Working returns.
 func (t *Table) WorkingCount() int {
 	n := 1
--- a/pkg/jyoutcome/reason.go
+++ b/pkg/jyoutcome/reason.go
@@ -11,6 +11,7 @@
 	BodyTooLarge       Reason = "BodyTooLarge"       // the request body is over its limit
 	CallerLimit        Reason = "CallerLimit"        // the caller is over its rate or concurrency
 	Overloaded         Reason = "Overloaded"         // the instance is full, or no server or connection is free
+	LimitReached       Reason = "LimitReached"       // all servers that could run it are at the limits that they state
 	NoBackendServer    Reason = "NoBackendServer"    // the service has no usable server
 	DeadlinePassed     Reason = "DeadlinePassed"     // there was no answer within the deadline
 	ConnectFailed      Reason = "ConnectFailed"      // no connection to the backend server could be opened
--- a/pkg/jyquota/rate.go
+++ b/pkg/jyquota/rate.go
@@ -11,6 +11,12 @@
 // Rate is a number of requests per second.
 type Rate float64
 
+// minLimit is the least limit that is applied. Without any request, nobody would learn that a limit has ended.
+const minLimit Rate = 0.2
+
+// Applied returns the rate that is applied for r as a stated limit.
+func (r Rate) Applied() Rate { return max(r, minLimit) }
+
 var decimalPattern = regexp.MustCompile(`^(\d+\.?\d*|\.\d+)$`)
 
 // ParseRate returns the rate that a server states as a decimal number. Its errors are of kind Malformed.
