Tell an instance that was cut off that a limit has ended

Cause: an instance that is cut off while a limit ends, and holds no share of it, sends the server nothing and so sees no answer; the end was told for ten seconds only, and as the representative it went on to tell the limit itself. Ruled out: an expiry of limits that nobody renews; many instances would then try a server that is only silent. Before: found by reading, before it landed. After: the end is repeated for ten minutes, and a peer that tells an outdated statement is corrected (TestAPeerThatWasCutOffIsToldThatALimitHasEnded). Conclusion: what stays is a fleet in which all that saw the end are gone.

--- a/internal/jybackend/directory.go
+++ b/internal/jybackend/directory.go
@@ -122,12 +122,18 @@
 	}
 }
 
-// ApplyPeerLimit applies what another instance reported that the server with that hash states about its limit. Unknown hashes are
-// ignored.
-func (s *Snapshot) ApplyPeerLimit(hash uint64, statement jyquota.Statement, from string) {
-	if server := s.byHash[hash]; server != nil {
-		server.applyLimit(statement, from)
+// ApplyPeerLimit applies what another instance reported that the server with that hash states about its limit. It returns the server
+// if this instance knows a later statement, which that instance should be told, and otherwise nil. Unknown hashes are ignored.
+func (s *Snapshot) ApplyPeerLimit(hash uint64, statement jyquota.Statement, from string) (outdated *Server) {
+	server := s.byHash[hash]
+	if server == nil {
+		return nil
+	}
+	if server.notice.limit.outdates(statement) {
+		return server
 	}
+	server.applyLimit(statement, from)
+	return nil
 }
 
 // Service returns the service of that name, or nil if there is none.
--- a/internal/jybackend/limit.go
+++ b/internal/jybackend/limit.go
@@ -19,9 +19,11 @@
 	maxLimitLogLines = 10
 	// shareInterval is how long a share is used until it is computed again, for the case that the membership has changed.
 	shareInterval = 250 * time.Millisecond
-	// endedLimitTime is how long after the end of a limit further answers renew the statement and peers are told of it, since
-	// signals may be lost.
-	endedLimitTime = 10 * time.Second
+	// endedLimitTime is how long after the end of a limit further answers renew the statement and peers are told of it. An
+	// instance that is cut off for longer may know a limit that has ended.
+	endedLimitTime = 10 * time.Minute
+	// outdatedAfter is how much older than another one a statement must be to count as outdated: closer ones may cross.
+	outdatedAfter = time.Second
 )
 
 // limit holds what one backend server last stated about its limit, and this instance's use of it.
@@ -69,6 +71,13 @@
 	return !l.isLimited.Load() || now.Sub(l.current().At) > jydetector.DefaultDrainingTimeout
 }
 
+// outdates reports whether a peer's statement s contradicts the last one and is clearly older.
+func (l *limit) outdates(s jyquota.Statement) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !s.IsSameLimit(l.statement) && l.statement.At.Sub(s.At) > outdatedAfter
+}
+
 // updateShare computes the share if it is outdated. The caller must hold mu.
 func (l *limit) updateShare(now time.Time, s *Server) {
 	if age := now.Sub(l.sharedAt); l.sharedAt.IsZero() || age < 0 || age > shareInterval {
--- a/internal/jysignal/limits.go
+++ b/internal/jysignal/limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -56,15 +57,23 @@
 	}
 }
 
-// applyLimits applies the limits in a signal that arrived at now. A limit that is no number of 0 or more is ignored.
-func applyLimits(now time.Time, snapshot *jybackend.Snapshot, m *jywire.Signal) {
+// applyLimits applies the limits in a signal, and answers its sender if some are outdated: it may have been cut off. A limit that is
+// no number of 0 or more is ignored.
+func (s *Signals) applyLimits(now time.Time, snapshot *jybackend.Snapshot, m *jywire.Signal, from netip.AddrPort) {
+	var corrections []*jywire.ServerLimit
 	for _, l := range m.GetLimits() {
 		rate := l.GetPerSecond()
 		if math.IsNaN(rate) || math.IsInf(rate, 0) || rate < 0 {
 			continue
 		}
-		snapshot.ApplyPeerLimit(l.GetServer(), jyquota.Statement{
+		outdated := snapshot.ApplyPeerLimit(l.GetServer(), jyquota.Statement{
 			IsLimited: l.GetLimited(), Limit: jyquota.Rate(rate), At: now.Add(-time.Duration(l.GetAgeMicroseconds()) * time.Microsecond),
 		}, m.GetSender())
+		if outdated != nil {
+			corrections = append(corrections, toServerLimit(now, outdated))
+		}
+	}
+	for _, correction := range s.splitLimits(corrections) {
+		s.sendTo(correction, []netip.AddrPort{from})
 	}
 }
--- a/internal/jysignal/limits_test.go
+++ b/internal/jysignal/limits_test.go
@@ -1,12 +1,16 @@
 package jysignal_test
 
 import (
+	"net"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/jackdawyard/jackdawyard/internal/jybackend"
+	"github.com/jackdawyard/jackdawyard/internal/jywire"
 	"github.com/jackdawyard/jackdawyard/pkg/jyquota"
 )
 
@@ -45,3 +49,32 @@
 		}, patience, poll, "its end is told to the %s instance", name)
 	}
 }
+
+func TestAPeerThatWasCutOffIsToldThatALimitHasEnded(t *testing.T) {
+	const self, peer = "127.0.0.2", "127.0.0.9"
+	port := freePort(t).Port()
+	d := start(t, port, self, "127.0.0.3")
+	v, server, now := d.Snapshot().Service("s"), d.Snapshot().Server("s", "a"), time.Now()
+	v.RecordLimit(server, now.Add(-time.Minute), 2)
+	v.RecordNoLimit(server, now.Add(-30*time.Second))
+
+	conn, err := net.DialUDP("udp4", &net.UDPAddr{IP: net.ParseIP(peer)}, &net.UDPAddr{IP: net.ParseIP(self), Port: int(port)})
+	require.NoError(t, err)
+	defer func() { assert.NoError(t, conn.Close()) }()
+	outdated, err := proto.Marshal(&jywire.Signal{Sender: "entry-9", Boot: 1, Sequence: 1, DataCentre: "one", Limits: []*jywire.ServerLimit{
+		{Server: server.Hash(), Limited: true, PerSecond: 2, AgeMicroseconds: time.Minute.Microseconds()},
+	}})
+	require.NoError(t, err)
+	_, err = conn.Write(outdated)
+	require.NoError(t, err)
+
+	require.NoError(t, conn.SetReadDeadline(time.Now().Add(10*time.Second)))
+	buffer := make([]byte, 2000)
+	n, err := conn.Read(buffer)
+	require.NoError(t, err)
+	var answer jywire.Signal
+	require.NoError(t, proto.Unmarshal(buffer[:n], &answer))
+	require.Len(t, answer.GetLimits(), 1)
+	assert.False(t, answer.GetLimits()[0].GetLimited())
+	assert.True(t, hasLimit(d, 0)(), "the peer's statement is ignored")
+}
--- a/internal/jysignal/signals.go
+++ b/internal/jysignal/signals.go
@@ -135,7 +135,7 @@
 	if m.GetWantsViews() {
 		s.sendAllViews(time.Now(), from)
 	}
-	s.apply(&m)
+	s.apply(&m, from)
 }
 
 // isNew records the signal and reports whether it is the first copy: two relays may forward the same signal.
@@ -148,17 +148,17 @@
 	return w.add(m.GetBoot(), m.GetSequence())
 }
 
-// apply applies the updates, request counts and views of a signal to the servers and services of the directory.
-func (s *Signals) apply(m *jywire.Signal) {
+// apply applies the updates, request counts, limits and views of a signal to the servers and services of the directory.
+func (s *Signals) apply(m *jywire.Signal, from netip.AddrPort) {
 	now := time.Now()
-	from := jybackend.Reporter{Name: m.GetSender(), Boot: m.GetBoot(), Sequence: m.GetSequence()}
+	reporter := jybackend.Reporter{Name: m.GetSender(), Boot: m.GetBoot(), Sequence: m.GetSequence()}
 	isLocal := m.GetDataCentre() == s.self.DataCentre
 	if !isLocal {
 		s.config.Directory.RecordContact(now, jynote.DataCentreName(m.GetDataCentre()))
 	}
 	snapshot := s.config.Directory.Snapshot()
 	for _, v := range m.GetServers() {
-		snapshot.ApplyPeerReport(now, v.GetServer(), from, jybackend.PeerReport{
+		snapshot.ApplyPeerReport(now, v.GetServer(), reporter, jybackend.PeerReport{
 			InFlight: int(v.GetInFlight()), Outcomes: outcomesOf(v), Unserved: v.GetUnserved(), IsLocal: isLocal,
 		})
 	}
@@ -167,7 +167,7 @@
 			snapshot.ApplyRemoteCounts(now, v.GetService(), jybackend.RequestCounts{Served: v.GetServed(), Unserved: v.GetUnserved()})
 		}
 	}
-	applyLimits(now, snapshot, m)
+	s.applyLimits(now, snapshot, m, from)
 	for _, v := range m.GetViews() {
 		snapshot.ApplyRemoteView(now, v.GetServer(), int(v.GetLoad()), float64(v.GetGrayPerMille())/perMille)
 	}
