Let the soak state limits of servers, and check that they are kept

Change: steps of a kind of their own, drawn apart so that the plans of kept seeds stay as they are; instances exchange signals, each on a loopback address of its own; the stand-in records all arrivals, shed ones too. Requests of instances or over links that another step disturbed do not count.

--- a/internal/jysoak/callers.go
+++ b/internal/jysoak/callers.go
@@ -53,3 +53,14 @@
 	}
 	return out
 }
+
+// arrivals returns the requests that arrived at the servers.
+func (s *soak) arrivals() []Arrival {
+	var out []Arrival
+	for i, server := range s.servers {
+		for _, r := range server.Arrivals() {
+			out = append(out, Arrival{ID: r.ID, Server: i, At: r.At.Sub(s.started)})
+		}
+	}
+	return out
+}
--- a/internal/jysoak/check_test.go
+++ b/internal/jysoak/check_test.go
@@ -26,12 +26,22 @@
 	return jysoak.Execution{ID: "r", Service: service, Server: server, At: at}
 }
 
+// arrivals returns arrivals at server 0 within 4 s from 20 s on.
+func arrivals(count int) []jysoak.Arrival {
+	var out []jysoak.Arrival
+	for i := range count {
+		out = append(out, jysoak.Arrival{ID: "r", At: 20*second + time.Duration(i)*4*second/time.Duration(count)})
+	}
+	return out
+}
+
 func TestEachBrokenGuaranteeIsReported(t *testing.T) {
 	once := []jysoak.Execution{execution(0, 0, 20*second)}
 	refused := request(func(q *jysoak.Request) { q.Status, q.Body = http.StatusServiceUnavailable, "" })
 	unanswered := request(func(q *jysoak.Request) { q.Status, q.Body, q.Signed = 0, "", false })
 	shutdown := jysoak.Step{Kind: jysoak.Terminate, At: 20 * second, Duration: second}
 	drained := jysoak.Step{Kind: jysoak.ServerDrain, At: 15 * second, Duration: 20 * second}
+	limited := jysoak.Step{Kind: jysoak.ServerLimit, At: 10 * second, Duration: 20 * second, PerSecond: 1}
 	tests := map[string]struct {
 		record jysoak.Record
 		want   string
@@ -80,6 +90,15 @@
 		"sent to the first service by the next process run": {record: jysoak.Record{
 			Requests:   []jysoak.Request{request(func(q *jysoak.Request) { q.Boot = 2 }), {ID: "q", Boot: 1, Sent: 10 * second}},
 			Executions: []jysoak.Execution{once[0], {ID: "q", Service: 1, At: 10 * second}}}},
+		"more requests than a limit allows": {
+			record: jysoak.Record{Plan: []jysoak.Step{limited}, Arrivals: arrivals(12)},
+			want:   "limit",
+		},
+		"as many requests as a limit allows": {record: jysoak.Record{Plan: []jysoak.Step{limited}, Arrivals: arrivals(11)}},
+		"more requests while the server's link was delayed": {record: jysoak.Record{
+			Plan: []jysoak.Step{limited, {Kind: jysoak.LinkDelay, At: 18 * second, Duration: second}}, Arrivals: arrivals(12)}},
+		"more requests of an instance that was paused": {record: jysoak.Record{
+			Plan: []jysoak.Step{limited, {Kind: jysoak.Pause, At: 18 * second, Duration: second}}, Arrivals: arrivals(12)}},
 		"nothing served after the faults": {record: jysoak.Record{Requests: []jysoak.Request{unanswered}, FaultsEnded: second}, want: "recovery"},
 	}
 	for name, tt := range tests {
--- a/internal/jysoak/instance.go
+++ b/internal/jysoak/instance.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -43,10 +44,11 @@
 // addresses are the listen addresses of one instance.
 type addresses struct{ caller, peer, operator string }
 
-// freeAddresses returns addresses on a loopback IP address derived from this process's id, so that no other program answers at
-// the port of an instance that is down.
-func freeAddresses() (addresses, error) {
-	host := fmt.Sprintf("127.1.%d.%d", os.Getpid()>>8&0xff, os.Getpid()&0xff)
+// freeAddresses returns addresses for the instance with that index. They are on a loopback IP address of its own, since all instances
+// use the same signal port, which is derived from this process's id, so that no other program answers at the port of an instance
+// that is down.
+func freeAddresses(index int) (addresses, error) {
+	host := fmt.Sprintf("127.%d.%d.%d", 16+index, os.Getpid()>>8&0xff, os.Getpid()&0xff)
 	var list [3]string
 	for i := range list {
 		address, err := jystandin.FreeAddress()
@@ -58,6 +60,20 @@
 	return addresses{caller: list[0], peer: list[1], operator: list[2]}, nil
 }
 
+// freeSignalPort returns a port for the signals between instances.
+func freeSignalPort() (int, error) {
+	const op = "find signal port"
+	address, err := jystandin.FreeAddress()
+	if err != nil {
+		return 0, jyfault.New(op, NotStarted, "%w", err)
+	}
+	parsed, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return 0, jyfault.New(op, NotStarted, "%w", err)
+	}
+	return int(parsed.Port()), nil
+}
+
 const settingsText = `[Instance]
 Name = %s
 DataCentre = dc-1
@@ -71,6 +87,7 @@
 [Peers]
 Seeds = %s
 PlaintextLoopback = true
+SignalPort = %d
 [BackendServers]
 Placing = Loss
 RetryBudgetSlack = 50
@@ -85,11 +102,13 @@
 	addresses
 	store string   // address of the link to the store
 	seeds []string // peer addresses
+	// signalPort is the same for all instances.
+	signalPort int
 }
 
 // settings returns the text of the settings file.
 func (c instanceConfig) settings() string {
-	return fmt.Sprintf(settingsText, c.name, c.caller, c.peer, c.operator, c.store, strings.Join(c.seeds, ","))
+	return fmt.Sprintf(settingsText, c.name, c.caller, c.peer, c.operator, c.store, strings.Join(c.seeds, ","), c.signalPort)
 }
 
 // newInstance writes the settings file and opens the log file of an instance. Its errors are of kind NotStarted.
--- a/internal/jysoak/plan.go
+++ b/internal/jysoak/plan.go
@@ -1,7 +1,9 @@
 package jysoak
 
 import (
+	"cmp"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -27,6 +29,7 @@
 	ServerDrain   StepKind = "ServerDrain"   // a server announces that it is draining
 	RouteMoves    StepKind = "RouteMoves"    // the next version of the configuration, with the routes at the second service
 	OldVersionPut StepKind = "OldVersionPut" // the store shows the version before the newest
+	ServerLimit   StepKind = "ServerLimit"   // a server states the limit PerSecond
 )
 
 // targetsInstance reports whether the step's target is an instance.
@@ -48,6 +51,8 @@
 	Kind       StepKind
 	Target     int // index of an instance or server
 	FaultIndex int // index into serverFaults; only a ServerFault step uses it
+	// PerSecond is the limit of a ServerLimit step.
+	PerSecond float64
 }
 
 // End returns the offset from the start of the soak at which the step is over.
@@ -62,11 +67,43 @@
 	// Steps start at random intervals of meanStepInterval on average and last up to maxStepDuration, so that they overlap.
 	meanStepInterval = 700 * time.Millisecond
 	maxStepDuration  = 4 * time.Second
+	// Limits are stated at random intervals of meanLimitInterval on average, for minLimitDuration or up to twice that: they are
+	// checked only after some seconds.
+	meanLimitInterval = 2 * time.Second
+	minLimitDuration  = 6 * time.Second
+	// maxLimit is the largest limit of a step, in requests per second.
+	maxLimit = 8
 )
 
-// GeneratePlan returns the steps for a seed in order of their start, up to the first one that would end after the duration.
-// servers and faults are the numbers of servers and of server faults to choose from.
+// GeneratePlan returns the steps for a seed in order of their start. All end within the duration. servers and faults are the numbers
+// of servers and of server faults to choose from.
 func GeneratePlan(seed uint64, duration time.Duration, instances, servers, faults int) []Step {
+	plan := append(generateFaults(seed, duration, instances, servers, faults), generateLimits(seed, duration, servers)...)
+	slices.SortStableFunc(plan, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
+	return plan
+}
+
+// generateLimits returns ServerLimit steps. Those of one server don't overlap.
+func generateLimits(seed uint64, duration time.Duration, servers int) []Step {
+	random := rand.New(rand.NewPCG(seed, 17))
+	endOf := map[int]time.Duration{}
+	var out []Step
+	at := time.Duration(0)
+	for at+minLimitDuration <= duration {
+		at += time.Duration(random.ExpFloat64() * float64(meanLimitInterval))
+		s := Step{At: at, Kind: ServerLimit, Target: random.IntN(servers), PerSecond: math.Round(maxLimit*100*random.Float64()) / 100}
+		s.Duration = time.Duration((1 + random.Float64()) * float64(minLimitDuration))
+		if s.End() > duration || at < endOf[s.Target] {
+			continue
+		}
+		endOf[s.Target] = s.End()
+		out = append(out, s)
+	}
+	return out
+}
+
+// generateFaults returns the steps of all other kinds, up to the first one that would end after the duration.
+func generateFaults(seed uint64, duration time.Duration, instances, servers, faults int) []Step {
 	random := rand.New(rand.NewPCG(seed, 11))
 	var out []Step
 	at := time.Duration(0)
--- a/internal/jysoak/record.go
+++ b/internal/jysoak/record.go
@@ -40,11 +40,19 @@
 	At time.Duration
 }
 
+// Arrival is a request that arrived at a server, whether or not it ran.
+type Arrival struct {
+	ID     string        // of the Request
+	Server int           // index of the server
+	At     time.Duration // offset from the start of the soak
+}
+
 // Record is what callers and servers observed, and the plan that was run.
 type Record struct {
 	Plan       []Step
 	Requests   []Request
 	Executions []Execution
+	Arrivals   []Arrival // at each server in order of time
 	// FaultsEnded is when all steps were over, and End when callers stop sending; offsets from the start of the soak.
 	FaultsEnded time.Duration
 	End         time.Duration
--- a/internal/jysoak/soak.go
+++ b/internal/jysoak/soak.go
@@ -88,7 +88,7 @@
 	}
 	<-callersDone
 	s.wg.Wait()
-	record.Requests, record.Executions = s.requests, s.executions()
+	record.Requests, record.Executions, record.Arrivals = s.requests, s.executions(), s.arrivals()
 	return record, nil
 }
 
@@ -117,8 +117,12 @@
 func (s *soak) startInstances() error {
 	var list []addresses
 	var seeds []string
-	for range s.config.Instances {
-		a, err := freeAddresses()
+	signals, err := freeSignalPort()
+	if err != nil {
+		return err
+	}
+	for i := range s.config.Instances {
+		a, err := freeAddresses(i)
 		if err != nil {
 			return err
 		}
@@ -127,7 +131,7 @@
 	for i, a := range list {
 		in, err := newInstance(instanceConfig{
 			program: s.config.Program, folder: s.config.Folder, name: fmt.Sprintf("entry-%d", i), addresses: a,
-			store: s.storeLink.address(), seeds: seeds,
+			store: s.storeLink.address(), seeds: seeds, signalPort: signals,
 		})
 		if err != nil {
 			return err
--- a/internal/jysoak/steps.go
+++ b/internal/jysoak/steps.go
@@ -53,6 +53,9 @@
 	case ServerDrain:
 		s.servers[step.Target].Drain(s.store)
 		return func() { s.servers[step.Target].Register(s.store) }
+	case ServerLimit:
+		s.servers[step.Target].SetLimit(fmt.Sprint(step.PerSecond))
+		return func() { s.servers[step.Target].SetLimit("") }
 	case RouteMoves:
 		s.moveRoutes()
 	case OldVersionPut:
--- a/scenario/limits_test.go
+++ b/scenario/limits_test.go
@@ -164,7 +164,7 @@
 			}
 			responses := sendSteadily(fleet, "limited", 80, jyhoststandin.LimitContact+2*jyhoststandin.LimitWindow)
 			for i, perSecond := range tt.limits {
-				most := jyhoststandin.MostInLimitWindow(servers[i].Requests(), stated.Add(jyhoststandin.LimitContact))
+				most := jyhoststandin.MostInLimitWindow(servers[i].Arrivals(), stated.Add(jyhoststandin.LimitContact))
 				assert.LessOrEqual(t, float64(most), jyhoststandin.AllowedInLimitWindow(perSecond),
 					"requests at a server with a limit of %g; sent %v", perSecond, sentByKind(fleet, servers[i].ID))
 				assert.Positive(t, most, "a server with a limit of %g still gets requests", perSecond)
