--- a/internal/jybackend/limit.go
+++ b/internal/jybackend/limit.go
@@ -91,6 +91,15 @@
 	return statement.Limit, statement.IsLimited
 }
 
+// LimitShare returns the requests per second that this instance may send to the server under the limit that it states.
+func (s *Server) LimitShare(now time.Time) jyquota.Rate {
+	l := &s.notice.limit
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.updateShare(now, s)
+	return l.share.PerSecond
+}
+
 // LimitStatement returns what the server last stated about its limit, as far as this instance knows.
 func (s *Server) LimitStatement() jyquota.Statement { return s.notice.limit.current() }
 
--- a/internal/jynode/gauges.go
+++ b/internal/jynode/gauges.go
@@ -70,7 +70,7 @@
 // set updates all gauges.
 func (g gauges) set() {
 	n := g.node
-	open, usable, likelyGray, unused, retries := 0, 0, 0, 0, 0.0
+	open, usable, likelyGray, unused, limited, retries := 0, 0, 0, 0, 0, 0.0
 	now := time.Now()
 	for _, v := range n.directory.Snapshot().Services() {
 		usable += v.Capacity().UsableSlots
@@ -83,6 +83,9 @@
 		}
 		for _, s := range v.Servers {
 			open += s.Pool.OpenCount()
+			if _, isLimited := s.Limit(); isLimited {
+				limited++
+			}
 		}
 	}
 	status := n.source.Status()
@@ -97,6 +100,7 @@
 		"source_away":        unavailable,
 		"servers_doubted":    likelyGray,
 		"servers_unused":     unused,
+		"servers_limited":    limited,
 		"working_instances":  n.fleet.WorkingCount(),
 		"request_ids":        n.requestIDs().Records,
 		"in_progress":        int(n.proxy.InProgress()),
--- a/internal/jynode/status.go
+++ b/internal/jynode/status.go
@@ -8,6 +8,7 @@
 	"github.com/jackdawyard/jackdawyard/internal/jyrelease"
 	"github.com/jackdawyard/jackdawyard/pkg/jydetector"
 	"github.com/jackdawyard/jackdawyard/pkg/jynote"
+	"github.com/jackdawyard/jackdawyard/pkg/jyquota"
 )
 
 // Status is the state of one instance, served to operators as JSON.
@@ -39,12 +40,21 @@
 	// Readmitted is the number of servers that get full load despite their health state, to keep the floor.
 	Readmitted int
 	Servers    []ServerStatus `json:",omitempty"`
+	// Limits lists the servers that state a limit.
+	Limits []LimitStatus `json:",omitempty"`
 	// Beliefs lists the estimates of all servers. It is empty unless servers are chosen by expected loss.
 	Beliefs []BeliefStatus `json:",omitempty"`
 	// RetriesLeft is the number of retries, which may be fractional, that the budget allows this instance now.
 	RetriesLeft float64
 }
 
+// LimitStatus is the limit of a backend server, in requests per second.
+type LimitStatus struct {
+	Server    jynote.ServerName
+	PerSecond jyquota.Rate // for all instances together
+	Share     jyquota.Rate // for this instance
+}
+
 // BeliefStatus is this instance's current estimate of a backend server.
 type BeliefStatus struct {
 	Server        jynote.ServerName
@@ -84,11 +94,22 @@
 		now := time.Now()
 		s.RetriesLeft = v.RetriesLeft(now)
 		s.Beliefs = beliefStatus(v.Estimates(now))
+		s.Limits = limitStatus(now, v)
 		out.Services = append(out.Services, s)
 	}
 	return out
 }
 
+func limitStatus(now time.Time, v *jybackend.Service) []LimitStatus {
+	var out []LimitStatus
+	for _, s := range v.Servers {
+		if limit, isLimited := s.Limit(); isLimited {
+			out = append(out, LimitStatus{Server: s.Info.Name, PerSecond: limit, Share: s.LimitShare(now)})
+		}
+	}
+	return out
+}
+
 func beliefStatus(list []jybackend.ServerEstimate) []BeliefStatus {
 	out := make([]BeliefStatus, 0, len(list))
 	for _, o := range list {
--- a/scenario/limits_test.go
+++ b/scenario/limits_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"os/exec"
 	"regexp"
 	"strconv"
 	"strings"
@@ -59,6 +60,9 @@
 			require.Equal(t, http.StatusOK, in.send(http.MethodPost, "/unsafe/x").Status)
 			return in.countLogged(step.texts...) == 1
 		})
+		status, err := exec.Command(program, "status", "--instances", in.operatorAddress).CombinedOutput()
+		require.NoError(t, err)
+		assert.Equal(t, step.limit != "", strings.Contains(string(status), "states a limit of "))
 	}
 }
 
