Explain a request by its own last line

Cause: the lines about the request and the related ones shared an array, and sorting them moved the request's last line away. Before: with three lines of a request and one related line, the outcome was ServerError in place of AnswerLost (the new test failed). After: it passes.

--- a/internal/jyexplain/explain.go
+++ b/internal/jyexplain/explain.go
@@ -39,7 +39,7 @@
 			id, jylog.LinesSuppressed.Number)
 		return err
 	}
-	shown := append(request, relatedLines(request, lines)...)
+	shown := slices.Concat(request, relatedLines(request, lines))
 	slices.SortStableFunc(shown, func(a, b Line) int { return a.Time.Compare(b.Time) })
 	for _, l := range shown {
 		if _, err := fmt.Fprintf(out, "%s  %s  %s %s\n", l.Time.Format("15:04:05.000000"), l.File, l.Message, formatFields(l)); err != nil {
--- a/internal/jyexplain/explain_test.go
+++ b/internal/jyexplain/explain_test.go
@@ -39,3 +39,16 @@
 	require.NoError(t, jyexplain.Write(&out, "r9", nil))
 	assert.Contains(t, out.String(), "No line names request r9")
 }
+
+func TestTheOutcomeIsThatOfTheRequestsLastLineAmongRelatedOnes(t *testing.T) {
+	const text = `I0102 10:00:02.000001    7 log.go:1] "request sent to another backend server" Event=603 Request="r1" Service="s" Server="b-1" Reason="ServerError" Attempts=1
+I0102 10:00:02.200001    7 loss.go:1] "backend server is believed gray" Event=308 Service="s" Server="b-1" GrayChance=0.9 Outcome="FailedEarly" Source="entry-2"
+I0102 10:00:02.500001    7 log.go:1] "request sent to another backend server" Event=603 Request="r1" Service="s" Server="b-2" Reason="ServerError" Attempts=2
+I0102 10:00:03.000001    7 log.go:1] "request failed" Event=602 Request="r1" Route="x" Service="s" Reason="AnswerLost" Status=502 Attempts=3 Server="b-3"
+`
+	lines, err := jyexplain.Read("entry-1.log", strings.NewReader(text))
+	require.NoError(t, err)
+	var out strings.Builder
+	require.NoError(t, jyexplain.Write(&out, "r1", lines))
+	assert.Contains(t, out.String(), "Outcome: request failed, AnswerLost")
+}
