Compute a share once for calls whose time is ahead, and tidy the soak's addresses

Cause: trials are judged with a time up to 0.25 s ahead, so that a share looked outdated and was computed again at each change between the two times; with many servers with limits that is a rendezvous hash for each. The soak's addresses left room for 239 instances only by their second byte. Before and after: not measured; found on reading the change.

--- a/internal/jybackend/limit.go
+++ b/internal/jybackend/limit.go
@@ -17,8 +17,9 @@
 const (
 	// maxLimitLogLines is the maximum number of log lines per second about each kind of statement about limits.
 	maxLimitLogLines = 10
-	// shareInterval is how long a share is used until it is computed again, for the case that the membership has changed.
-	shareInterval = 250 * time.Millisecond
+	// shareInterval is how long a share is used until it is computed again, for the case that the membership has changed. It is not
+	// shorter than maxTrialLead, by which the time of some calls is ahead.
+	shareInterval = maxTrialLead
 	// endedLimitTime is how long after the end of a limit further answers renew the statement and peers are told of it. An
 	// instance that is cut off for longer may know a limit that has ended.
 	endedLimitTime = 10 * time.Minute
@@ -80,7 +81,7 @@
 
 // updateShare computes the share if it is outdated. The caller must hold mu.
 func (l *limit) updateShare(now time.Time, s *Server) {
-	if age := now.Sub(l.sharedAt); l.sharedAt.IsZero() || age < 0 || age > shareInterval {
+	if l.sharedAt.IsZero() || now.Sub(l.sharedAt).Abs() > shareInterval {
 		l.share, l.sharedAt = s.shareOf(s.Info, l.statement.Limit), now
 	}
 }
@@ -103,7 +104,7 @@
 // LimitStatement returns what the server last stated about its limit, as far as this instance knows.
 func (s *Server) LimitStatement() jyquota.Statement { return s.notice.limit.current() }
 
-// HadLimitRecently reports whether the server states a limit, or stopped to do so within endedLimitTime.
+// HadLimitRecently reports whether the server states a limit, or stopped doing so within endedLimitTime.
 func (s *Server) HadLimitRecently(now time.Time) bool {
 	l := &s.notice.limit
 	if !l.isRecent.Load() {
--- a/internal/jysoak/instance.go
+++ b/internal/jysoak/instance.go
@@ -44,11 +44,12 @@
 // addresses are the listen addresses of one instance.
 type addresses struct{ caller, peer, operator string }
 
-// freeAddresses returns addresses for the instance with that index. They are on a loopback IP address of its own, since all instances
-// use the same signal port, which is derived from this process's id, so that no other program answers at the port of an instance
-// that is down.
+// freeAddresses returns addresses for the instance with that index, below 250. Each instance has a loopback IP address of its own, since
+// all use the same signal port. The address is derived from this process's id, so that no other program answers at the port of an
+// instance that is down.
 func freeAddresses(index int) (addresses, error) {
-	host := fmt.Sprintf("127.%d.%d.%d", 16+index, os.Getpid()>>8&0xff, os.Getpid()&0xff)
+	pid := os.Getpid()
+	host := fmt.Sprintf("127.%d.%d.%d", 16+(pid>>8)%200, pid&0xff, 1+index%250)
 	var list [3]string
 	for i := range list {
 		address, err := jystandin.FreeAddress()
