--- a/scenario/soak/soak_test.go
+++ b/scenario/soak/soak_test.go
@@ -32,20 +32,22 @@
 
 func TestGuaranteesHoldUnderFaults(t *testing.T) {
 	tests := map[string]struct {
-		seed string
+		seed    string
+		minutes string // with faults
 		// cause is the fault for which the seed failed at first, if it did.
 		cause string
 	}{
-		"kills, pauses, silent links and an older version": {seed: "17"},
+		"kills, pauses, silent links and an older version": {seed: "17", minutes: "0.15"},
 		"an older version after a silent store": {
-			seed:  "36",
+			seed: "36", minutes: "0.15",
 			cause: "the soak published a number between two versions as an older one; it is newer for an instance that missed the newest",
 		},
+		"limits of servers, which last for seconds before they count": {seed: "2", minutes: "0.3"},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			out, err := exec.Command(program, "--quiet", "soak", "--seed", tt.seed, "--minutes", "0.15").CombinedOutput()
+			out, err := exec.Command(program, "--quiet", "soak", "--seed", tt.seed, "--minutes", tt.minutes).CombinedOutput()
 			assert.NoError(t, err, "%s%s", tt.cause, out)
 		})
 	}
