Read the change: one bound for the tests, one way to ask for a share

Cause: three tests had the platform's bound and its window each, and two functions differed by one word.

--- a/internal/jybackend/limit.go
+++ b/internal/jybackend/limit.go
@@ -116,19 +116,13 @@
 }
 
 // hasQuota reports whether this instance may send the server a request under its limit.
-func (s *Server) hasQuota(now time.Time) bool {
-	l := &s.notice.limit
-	if !l.isLimited.Load() {
-		return true
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.updateShare(now, s)
-	return l.bucket.Has(now, l.share)
-}
+func (s *Server) hasQuota(now time.Time) bool { return s.askBucket(now, (*jyquota.Bucket).Has) }
 
 // TakeQuota counts a request against this instance's share of the server's limit, and reports whether it may be sent.
-func (s *Server) TakeQuota(now time.Time) bool {
+func (s *Server) TakeQuota(now time.Time) bool { return s.askBucket(now, (*jyquota.Bucket).Take) }
+
+// askBucket returns what ask returns for the bucket of this instance's share, or true if the server states no limit.
+func (s *Server) askBucket(now time.Time, ask func(*jyquota.Bucket, time.Time, jyquota.Share) bool) bool {
 	l := &s.notice.limit
 	if !l.isLimited.Load() {
 		return true
@@ -136,7 +130,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.updateShare(now, s)
-	return l.bucket.Take(now, l.share)
+	return ask(&l.bucket, now, l.share)
 }
 
 // RecordLimit records that an answer, which arrived at now, stated a limit.
--- a/internal/jybackend/limit_test.go
+++ b/internal/jybackend/limit_test.go
@@ -12,13 +12,9 @@
 	"github.com/jackdawyard/jackdawyard/internal/jybackend"
 	"github.com/jackdawyard/jackdawyard/pkg/jynote"
 	"github.com/jackdawyard/jackdawyard/pkg/jyquota"
+	jyhoststandin "github.com/jackdawyard/jackdawyard/platform/standin"
 )
 
-// The platform's bound on the requests at a server with a limit, in any limitWindow.
-const limitWindow = 4 * time.Second
-
-func allowedInLimitWindow(perSecond float64) float64 { return 1.5*perSecond*limitWindow.Seconds() + 5 }
-
 // limitedDirectory returns the directory of one of the instances, in front of servers in the data centres dc-0 and dc-1.
 func limitedDirectory(self int, instances []jyquota.Instance, servers int, byExpectedLoss bool) *jybackend.Directory {
 	d := jybackend.NewDirectory(jybackend.Config{
@@ -74,18 +70,19 @@
 				v.RecordLimit(d.Snapshot().Server("s", serverNameOf(i)), start, jyquota.Rate(limit))
 			}
 		}
-		sent := map[jynote.ServerName][]time.Time{}
+		sent := map[jynote.ServerName][]jyhoststandin.Request{}
 		for now := start; now.Sub(start) < 12*time.Second; now = now.Add(gap) {
 			for _, d := range fleet {
 				for n := range perStep {
 					for _, name := range tryServers(d.Snapshot().Service("s"), now, n%2 == 0) {
-						sent[name] = append(sent[name], now)
+						sent[name] = append(sent[name], jyhoststandin.Request{At: now})
 					}
 				}
 			}
 		}
 		for i, limit := range limits {
-			assert.LessOrEqual(t, float64(mostIn(sent[serverNameOf(i)])), allowedInLimitWindow(limit), "limit %g", limit)
+			most := jyhoststandin.MostInLimitWindow(sent[serverNameOf(i)], start)
+			assert.LessOrEqual(t, float64(most), jyhoststandin.AllowedInLimitWindow(limit), "limit %g", limit)
 		}
 	})
 }
@@ -105,18 +102,6 @@
 	return out
 }
 
-// mostIn returns the largest number of times in any limitWindow.
-func mostIn(list []time.Time) int {
-	most, first := 0, 0
-	for i, at := range list {
-		for at.Sub(list[first]) > limitWindow {
-			first++
-		}
-		most = max(most, i-first+1)
-	}
-	return most
-}
-
 func TestASecondCopyCountsAgainstTheLimit(t *testing.T) {
 	d := limitedFleet(1, 1, true)[0]
 	v, s, now := d.Snapshot().Service("s"), d.Snapshot().Server("s", serverNameOf(0)), time.Now()
--- a/pkg/jyquota/bucket_test.go
+++ b/pkg/jyquota/bucket_test.go
@@ -8,23 +8,19 @@
 	"pgregory.net/rapid"
 
 	"github.com/jackdawyard/jackdawyard/pkg/jyquota"
+	jyhoststandin "github.com/jackdawyard/jackdawyard/platform/standin"
 )
 
-// The platform's bound on the requests at a server with a limit, in any limitWindow.
-const limitWindow = 4 * time.Second
-
-func allowed(limit jyquota.Rate) float64 { return 1.5*float64(limit)*limitWindow.Seconds() + 5 }
-
 // fleetUse replays a fleet in virtual time. In each step, demand requests arrive at each instance, and are sent if the instance's
-// bucket has a token for them. It returns the times of the sent requests.
-func fleetUse(fleet []jyquota.Instance, limit jyquota.Rate, steps int, demand func(step int) int, restarts func(step, instance int) bool) []time.Time {
+// bucket has a token for them. It returns the sent requests.
+func fleetUse(fleet []jyquota.Instance, limit jyquota.Rate, steps int, demand func(step int) int, restarts func(step, instance int) bool) []jyhoststandin.Request {
 	const step = 50 * time.Millisecond
 	buckets := make([]jyquota.Bucket, len(fleet))
 	shares := make([]jyquota.Share, len(fleet))
 	for i, in := range fleet {
 		shares[i] = jyquota.ShareOf(in.Name, server, limit, fleet)
 	}
-	var out []time.Time
+	var out []jyhoststandin.Request
 	now := time.Unix(1000, 0)
 	for n := range steps {
 		for i := range fleet {
@@ -34,7 +30,7 @@
 			for range demand(n) {
 				// Servers are asked whether they have room before one is chosen.
 				if buckets[i].Has(now, shares[i]) && buckets[i].Take(now, shares[i]) {
-					out = append(out, now)
+					out = append(out, jyhoststandin.Request{At: now})
 				}
 			}
 		}
@@ -45,16 +41,10 @@
 
 func never(int, int) bool { return false }
 
-// mostWithin returns the largest number of times in any window of that length.
-func mostWithin(list []time.Time, window time.Duration) int {
-	most, first := 0, 0
-	for i, at := range list {
-		for at.Sub(list[first]) > window {
-			first++
-		}
-		most = max(most, i-first+1)
-	}
-	return most
+// assertWithin checks the platform's bound on the requests at a server with a limit.
+func assertWithin(t assert.TestingT, limit jyquota.Rate, sent []jyhoststandin.Request) {
+	most := jyhoststandin.MostInLimitWindow(sent, time.Time{})
+	assert.LessOrEqual(t, float64(most), jyhoststandin.AllowedInLimitWindow(float64(limit)))
 }
 
 func TestAFleetStaysWithinALimitWhateverTheDemand(t *testing.T) {
@@ -69,7 +59,7 @@
 			}
 			return 0
 		}, never)
-		assert.LessOrEqual(t, float64(mostWithin(sent, limitWindow)), allowed(limit))
+		assertWithin(t, limit, sent)
 	})
 }
 
@@ -86,13 +76,13 @@
 	fleet := instances(15, 3)
 	const limit, stepsPerRestart = 1.5, 20
 	sent := fleetUse(fleet, limit, 2000, func(int) int { return 2 }, func(step, i int) bool { return (step+7*i)%stepsPerRestart == 0 })
-	assert.LessOrEqual(t, float64(mostWithin(sent, limitWindow)), allowed(limit))
+	assertWithin(t, limit, sent)
 }
 
 func TestALimitThatIsStatedAsZeroGetsAFewRequests(t *testing.T) {
 	sent := fleetUse(instances(15, 3), 0, 2000, func(int) int { return 1 }, never)
 	assert.NotEmpty(t, sent, "else nobody would learn that it ended")
-	assert.LessOrEqual(t, float64(mostWithin(sent, limitWindow)), allowed(0))
+	assertWithin(t, 0, sent)
 }
 
 func TestABucketDoesNotRefillWhenTimeGoesBack(t *testing.T) {
