Ask the local peers first for their views at the start

Cause: suspected, not shown: an instance that starts may know a peer in another data centre before those in its own, and spent its three questions there, which know less of the servers nearby. After: peers elsewhere are asked only if none is known here for 1.5 s.

--- a/internal/jysignal/catch_up.go
+++ b/internal/jysignal/catch_up.go
@@ -18,12 +18,18 @@
 	catchUpTime     = 3 * time.Second
 )
 
-// catchUp asks the first peers that become known for their views of all servers and the servers' limits. Peers in other data
-// centres are asked only if none is known in this one. It returns after catchUpPeers peers, after catchUpTime or when ctx ends.
+// catchUp asks the first peers that become known in the local data centre for their views of all servers and the servers' limits. If
+// none is known after half of catchUpTime, it asks peers in other data centres. It returns after catchUpPeers peers, after
+// catchUpTime or when ctx ends.
 func (s *Signals) catchUp(ctx context.Context) {
 	asked := map[netip.AddrPort]bool{}
-	for until := time.Now().Add(catchUpTime); ctx.Err() == nil && len(asked) < catchUpPeers && time.Now().Before(until); {
-		for _, address := range s.peers.nearestPeers() {
+	until := time.Now().Add(catchUpTime)
+	for ctx.Err() == nil && len(asked) < catchUpPeers && time.Now().Before(until) {
+		peers := s.peers.localPeers()
+		if time.Until(until) < catchUpTime/2 {
+			peers = s.peers.nearestPeers()
+		}
+		for _, address := range peers {
 			if asked[address] || len(asked) == catchUpPeers {
 				continue
 			}
