Show that a planned stop cuts off requests that were just read on kept connections

Cause: the first step of a stop makes net/http close all connections that it counts as idle, also those whose request was just read. Change: a script.

--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -21,6 +21,7 @@
 // cases returns true if the rule was broken.
 var cases = map[string]func(environment) bool{
 	"gone-kept":         goneKept,
+	"stop-busy":         stopBusy,
 	"double-slash":      doubleSlash,
 	"healthy-forgotten": healthyForgotten,
 }
