Show that two crashed targets make all machines refuse the requests of callers that crashed nothing

Cause: the fingerprint of a request that is suspected of ending targets leaves the caller out, and answers to non-idempotent requests don't clear it before the first suspicion.

--- a/review/harness/client.go
+++ b/review/harness/client.go
@@ -24,6 +24,7 @@
 	err                    string
 	body                   string
 	signature              string
+	key                    string // that the request carried
 }
 
 // clients send requests and collect what came of them.
@@ -45,7 +46,7 @@
 
 // send sends one request on a new connection, and waits for its end.
 func (c *clients) send(i *instance, host, method, path string, body []byte, budget time.Duration, header map[string]string) sent {
-	out := sent{id: fmt.Sprintf("%016x", 0xa000+c.next.Add(1)), node: i.name, method: method, path: path, at: c.rec.since()}
+	out := sent{id: fmt.Sprintf("%016x", 0xa000+c.next.Add(1)), node: i.name, method: method, path: path, at: c.rec.since(), key: header["Key"]}
 	ctx, cancel := context.WithTimeout(context.Background(), budget)
 	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, method, "http://"+i.front+"/", bytes.NewReader(body))
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -22,6 +22,7 @@
 var cases = map[string]func(environment) bool{
 	"gone-kept":         goneKept,
 	"stop-busy":         stopBusy,
+	"blocked-caller":    blockedCaller,
 	"double-slash":      doubleSlash,
 	"healthy-forgotten": healthyForgotten,
 }
--- a/review/harness/target.go
+++ b/review/harness/target.go
@@ -98,6 +98,24 @@
 	t.rec.log("target %s ended", t.id)
 }
 
+// crash ends the target without notice; its address then refuses connections.
+func (t *target) crash() {
+	_ = t.server.Close()
+	t.rec.log("target %s crashed", t.id)
+}
+
+// restart starts the target again at its address, as a new lifetime under another id.
+func (t *target) restart() {
+	listener, err := net.Listen("tcp", t.address())
+	if err != nil {
+		fail("listen: %v", err)
+	}
+	t.id, t.born, t.sequence = t.id+"b", time.Now().UnixMilli(), 0
+	t.listener, t.server = listener, &http.Server{Handler: t}
+	go func() { _ = t.server.Serve(listener) }()
+	t.rec.log("target %s is back", t.id)
+}
+
 func (t *target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == "/health" {
 		w.Header().Set("Instance-Id", t.id)
