Answer the requests that were read before a planned stop closes connections

Cause: net/http counts a connection as idle until a request's head is parsed. SetKeepAlivesEnabled(false), the first step of a stop, and Shutdown both close idle connections. Ruled out: HTTP/2, which announces its last request first.

Change: connections of callers are held by the project's own type, whose state (pkg/jyconnection) puts a close off while something read is unanswered, and lets no request be passed on that is read from a closed connection. A draining instance answers with Connection: close instead of closing idle connections.

--- a/internal/jynode/shut_down.go
+++ b/internal/jynode/shut_down.go
@@ -20,12 +20,11 @@
 func (n *Node) shutDown() {
 	close(n.draining)
 	jylog.InstanceDraining.Log(n.proxy.InProgress())
-	n.callers.http.SetKeepAlivesEnabled(false)
+	n.callers.drain()
 	time.Sleep(n.settings.BalancerNotice)
 	ctx, cancel := context.WithTimeout(context.Background(), n.longestDeadline()+drainGracePeriod)
 	defer cancel()
-	// An error means that the time is up; the remaining requests are counted below.
-	_ = n.callers.http.Shutdown(ctx)
+	n.callers.shutDown(ctx)
 	if n.ledger != nil {
 		n.ledger.Seal()
 	}
