End an outage of the store with each answer, not with the next change

Cause: the registry counted an outage until the next change of an entry. The removal itself ended it, and so fell into the grace period of lapsed servers; a second outage then held lapsed servers back for good. Ruled out: removals that reach followers late; followers and readers failed alike.

Change: each answer, also one without changes, is applied to the registry.

--- a/pkg/jyregistry/event.go
+++ b/pkg/jyregistry/event.go
@@ -15,8 +15,10 @@
 // Removed returns the event of a removal.
 func Removed(id ID) Event { return Event{ID: id} }
 
-// Apply records changes in the order in which the store made them.
+// Apply records an answer of the store: its changes, of which there may be none, in the order in which the store made them. It ends an
+// outage.
 func (r *Registry) Apply(now time.Time, events []Event) {
+	r.markStoreAvailable(now)
 	for _, e := range events {
 		if e.Registration == nil {
 			r.Remove(now, e.ID)
--- a/pkg/jyregistry/registry.go
+++ b/pkg/jyregistry/registry.go
@@ -57,7 +57,7 @@
 	return &Registry{config: c, entries: map[ID]*entry{}, removals: map[ID]removal{}}
 }
 
-// MarkStoreUnavailable records that the store cannot be read. The next Put, Remove or Replace ends the outage.
+// MarkStoreUnavailable records that the store cannot be read. The next Apply, Put, Remove or Replace ends the outage.
 func (r *Registry) MarkStoreUnavailable() { r.storeUnavailable = true }
 
 // MarkStoreRestored records that the store came back from a copy. Registrations made since the copy are missing there until their
