Block a request only for separate crashes, and end a block by an answer

The caller was left out of the fingerprint; that alone does not explain the case, whose one caller was refused too.

Change: runs that overlap count as one crash; instances send the times of the runs. An answer takes a request off the list everywhere (Unblock, event 320), and a report of a request that was answered recently is ignored.

--- a/internal/jylog/catalogue.go
+++ b/internal/jylog/catalogue.go
@@ -68,6 +68,8 @@
 	SendingElsewhereBegan = define(318, Info, "service begins to send requests to other data centres", "Add backend servers in this data centre if this lasts.", "Service", "Share", "Slots", "SlotsNeeded")
 	SendingElsewhereEnded = define(319, Info, "service no longer sends requests to other data centres", "None.", "Service", "Share", "Slots", "SlotsNeeded")
 
+	RequestUnblocked = define(320, Info, "request no longer suspected of crashing backend servers: one answered it", "None.", "Fingerprint")
+
 	MemberJoined  = define(400, Info, "instance joined", "None.", "Instance", "Boot")
 	MemberSuspect = define(401, Info, "instance suspected", "None unless it is followed by 402.", "Instance")
 	MemberDead    = define(402, Alarm, "instance declared dead", "Check that the platform replaces it.", "Instance")
--- a/internal/jynode/peer_handler.go
+++ b/internal/jynode/peer_handler.go
@@ -42,3 +42,8 @@
 func (h peerHandler) Block(ctx context.Context, r *connect.Request[jywire.BlockRequest]) (*connect.Response[jywire.BlockResponse], error) {
 	return h.blockList.HandleBlock(ctx, r)
 }
+
+// Unblock applies a peer's report that a suspected request was answered.
+func (h peerHandler) Unblock(ctx context.Context, r *connect.Request[jywire.UnblockRequest]) (*connect.Response[jywire.UnblockResponse], error) {
+	return h.blockList.HandleUnblock(ctx, r)
+}
--- a/internal/jyproxy/forwarder.go
+++ b/internal/jyproxy/forwarder.go
@@ -39,7 +39,7 @@
 	// RecordAnswer records that a backend server answered a request.
 	RecordAnswer(f jyblock.Fingerprint)
 	// RecordCrash records that a backend server may have crashed while it ran a request.
-	RecordCrash(f jyblock.Fingerprint, server jyblock.ServerName, idempotent bool)
+	RecordCrash(f jyblock.Fingerprint, c jyblock.Crash, idempotent bool)
 }
 
 // Forwarder sends requests to backend servers.
@@ -121,7 +121,7 @@
 			return out, nil
 		}
 		if failure.MayHaveCrashedServer {
-			f.recordCrash(r, server)
+			f.recordCrash(r, a)
 		}
 		if failure.Reason == jyoutcome.AccountsStale {
 			return nil, r.refusalWithoutLease()
@@ -191,22 +191,24 @@
 // isBlocked reports whether the request is blocked for crashing backend servers. A request with a streamed body has no
 // fingerprint and is never blocked.
 func (f *Forwarder) isBlocked(r *request) bool {
-	return r.replayable() && !f.config.BlockList.IsEmpty() && f.config.BlockList.IsBlocked(jyblock.Fingerprint(r.fingerprint()))
+	return r.replayable() && !f.config.BlockList.IsEmpty() && f.config.BlockList.IsBlocked(r.blockFingerprint())
 }
 
 // recordAnswer records at the block list that the request was answered. For a non-idempotent request it does so only while the
 // list is not empty. A request with a streamed body has no fingerprint.
 func (f *Forwarder) recordAnswer(r *request) {
 	if r.replayable() && (r.match.Idempotent || !f.config.BlockList.IsEmpty()) {
-		f.config.BlockList.RecordAnswer(jyblock.Fingerprint(r.fingerprint()))
+		f.config.BlockList.RecordAnswer(r.blockFingerprint())
 	}
 }
 
-// recordCrash records at the block list that the server may have crashed while it ran the request.
-func (f *Forwarder) recordCrash(r *request, s *jybackend.Server) {
-	if r.replayable() {
-		f.config.BlockList.RecordCrash(jyblock.Fingerprint(r.fingerprint()), jyblock.ServerName(s.Info.Name), r.match.Idempotent)
+// recordCrash records at the block list that the server of an attempt may have crashed while it ran the request.
+func (f *Forwarder) recordCrash(r *request, a *attempt) {
+	if !r.replayable() {
+		return
 	}
+	crash := jyblock.Crash{Server: jyblock.ServerName(a.server().Info.Name), Began: a.started, Ended: time.Now()}
+	f.config.BlockList.RecordCrash(r.blockFingerprint(), crash, r.match.Idempotent)
 }
 
 // NoServerReason returns the reason for a request that gets no first attempt: its service has no usable servers, none is free, or
--- a/internal/jyproxy/proxy_test.go
+++ b/internal/jyproxy/proxy_test.go
@@ -26,11 +26,11 @@
 // noop implements the dependencies that a single instance does not need.
 type noop struct{}
 
-func (noop) Record(jymetric.EndedRequest)                              {}
-func (noop) IsEmpty() bool                                             { return true }
-func (noop) IsBlocked(jyblock.Fingerprint) bool                        { return false }
-func (noop) RecordAnswer(jyblock.Fingerprint)                          {}
-func (noop) RecordCrash(jyblock.Fingerprint, jyblock.ServerName, bool) {}
+func (noop) Record(jymetric.EndedRequest)                         {}
+func (noop) IsEmpty() bool                                        { return true }
+func (noop) IsBlocked(jyblock.Fingerprint) bool                   { return false }
+func (noop) RecordAnswer(jyblock.Fingerprint)                     {}
+func (noop) RecordCrash(jyblock.Fingerprint, jyblock.Crash, bool) {}
 func (noop) Relay(context.Context, jyproxy.RelayedRequest) (jydedup.Result, error) {
 	return jydedup.Result{}, io.ErrUnexpectedEOF
 }
--- a/internal/jyproxy/request.go
+++ b/internal/jyproxy/request.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/jackdawyard/jackdawyard/internal/jybackend"
+	"github.com/jackdawyard/jackdawyard/pkg/jyblock"
 	"github.com/jackdawyard/jackdawyard/pkg/jydedup"
 	"github.com/jackdawyard/jackdawyard/pkg/jyfault"
 	"github.com/jackdawyard/jackdawyard/pkg/jynote"
@@ -144,6 +145,13 @@
 	return jydedup.Fingerprint(h.Sum(nil))
 }
 
+// blockFingerprint returns a digest of what stays the same when a request that crashes servers is sent again, also to another instance:
+// its fingerprint and the client account.
+func (r *request) blockFingerprint() jyblock.Fingerprint {
+	request := r.fingerprint()
+	return sha256.Sum256(append(request[:], r.accountName()...))
+}
+
 // readBody buffers the body, or prepares to stream it if its Content-Length is over maxBufferedBodyBytes. It refuses a body over
 // limit, in bytes, and one of unknown length over maxBufferedBodyBytes.
 func (r *request) readBody(in *http.Request, limit int64) *jyoutcome.Refusal {
--- a/internal/jyrelay/block.go
+++ b/internal/jyrelay/block.go
@@ -55,38 +55,52 @@
 	return b.list.IsBlocked(time.Now(), f)
 }
 
-// RecordAnswer removes a request from the list because a backend server answered it, unless the request is blocked.
+// RecordAnswer records that a backend server answered a request. A request that was suspected or blocked is taken off the list, and off
+// those of all peers.
 func (b *BlockList) RecordAnswer(f jyblock.Fingerprint) {
+	if b.recordAnswer(f) {
+		jylog.RequestUnblocked.Log(shortHex(f))
+		go b.tellPeers(func(ctx context.Context, m jymember.Member) error {
+			_, err := b.clients.At(m.Address).Unblock(ctx, connect.NewRequest(&jywire.UnblockRequest{Fingerprint: f[:]}))
+			return err
+		})
+	}
+}
+
+func (b *BlockList) recordAnswer(f jyblock.Fingerprint) (cleared bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.list.RecordAnswer(time.Now(), f)
+	cleared = b.list.RecordAnswer(time.Now(), f)
 	b.size.Store(int64(b.list.Len()))
+	return cleared
 }
 
 // RecordCrash records that a backend server crashed while it ran a request, unless the request was answered recently. It
 // reports the request to all peers, and returns when they have answered or the timeout has passed. A non-idempotent request is
 // blocked at once.
-func (b *BlockList) RecordCrash(f jyblock.Fingerprint, server jyblock.ServerName, idempotent bool) {
+func (b *BlockList) RecordCrash(f jyblock.Fingerprint, c jyblock.Crash, idempotent bool) {
+	now := time.Now()
 	b.mu.Lock()
-	suspected := b.list.RecordCrash(time.Now(), f, server, idempotent)
-	blocked := b.list.IsBlocked(time.Now(), f)
-	servers := b.list.CrashedServers(f)
+	suspected := b.list.RecordCrash(now, f, c, idempotent)
+	blocked := b.list.IsBlocked(now, f)
+	crashes := b.list.Crashes(f)
 	b.size.Store(int64(b.list.Len()))
 	b.mu.Unlock()
 	if blocked {
-		jylog.RequestBlocked.Log(hex.EncodeToString(f[:8]), servers)
+		jylog.RequestBlocked.Log(shortHex(f), serversOf(crashes))
 	}
-	if suspected {
-		b.reportToPeers(f, servers, blocked)
+	if !suspected {
+		return
 	}
+	message := encodeCrashes(f, crashes, blocked, now)
+	b.tellPeers(func(ctx context.Context, m jymember.Member) error {
+		_, err := b.clients.At(m.Address).Block(ctx, connect.NewRequest(message))
+		return err
+	})
 }
 
-// reportToPeers sends the report to at most maxParallelReports peers at the same time, and waits for all answers or the timeout.
-func (b *BlockList) reportToPeers(f jyblock.Fingerprint, servers []jyblock.ServerName, blocked bool) {
-	message := &jywire.BlockRequest{Fingerprint: f[:], Blocked: blocked}
-	for _, s := range servers {
-		message.Servers = append(message.Servers, string(s))
-	}
+// tellPeers makes a call to all peers, at most maxParallelReports at the same time, and waits for all answers or the timeout.
+func (b *BlockList) tellPeers(call func(context.Context, jymember.Member) error) {
 	ctx, cancel := context.WithTimeout(context.Background(), b.timeout)
 	defer cancel()
 	var wg sync.WaitGroup
@@ -95,8 +109,8 @@
 		semaphore <- struct{}{}
 		wg.Go(func() {
 			defer func() { <-semaphore }()
-			// An error is ignored: a peer without the report may lose one more server to the request, and suspects it then.
-			_, _ = b.clients.At(m.Address).Block(ctx, connect.NewRequest(message))
+			// An error is ignored: a peer without the report finds out itself, by one more crash or an answer.
+			_ = call(ctx, m)
 		})
 	}
 	wg.Wait()
@@ -106,15 +120,21 @@
 func (b *BlockList) HandleBlock(
 	_ context.Context, q *connect.Request[jywire.BlockRequest],
 ) (*connect.Response[jywire.BlockResponse], error) {
-	var f jyblock.Fingerprint
-	copy(f[:], q.Msg.GetFingerprint())
-	servers := make([]jyblock.ServerName, 0, len(q.Msg.GetServers()))
-	for _, s := range q.Msg.GetServers() {
-		servers = append(servers, jyblock.ServerName(s))
-	}
+	now := time.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.list.Merge(time.Now(), f, servers, q.Msg.GetBlocked())
+	b.list.Merge(now, fingerprintOf(q.Msg.GetFingerprint()), decodeCrashes(q.Msg, now), q.Msg.GetBlocked())
 	b.size.Store(int64(b.list.Len()))
 	return connect.NewResponse(&jywire.BlockResponse{}), nil
 }
+
+// HandleUnblock takes a request off the list that a peer saw answered.
+func (b *BlockList) HandleUnblock(
+	_ context.Context, q *connect.Request[jywire.UnblockRequest],
+) (*connect.Response[jywire.UnblockResponse], error) {
+	b.recordAnswer(fingerprintOf(q.Msg.GetFingerprint()))
+	return connect.NewResponse(&jywire.UnblockResponse{}), nil
+}
+
+// shortHex identifies a request in the log.
+func shortHex(f jyblock.Fingerprint) string { return hex.EncodeToString(f[:8]) }
--- a/internal/jywire/jywireconnect/peer.connect.go
+++ b/internal/jywire/jywireconnect/peer.connect.go
@@ -52,6 +52,8 @@
 	PeerServiceTellProcedure = "/jackdawyard.peer.v1.PeerService/Tell"
 	// PeerServiceBlockProcedure is the fully-qualified name of the PeerService's Block RPC.
 	PeerServiceBlockProcedure = "/jackdawyard.peer.v1.PeerService/Block"
+	// PeerServiceUnblockProcedure is the fully-qualified name of the PeerService's Unblock RPC.
+	PeerServiceUnblockProcedure = "/jackdawyard.peer.v1.PeerService/Unblock"
 	// PeerServiceFollowProcedure is the fully-qualified name of the PeerService's Follow RPC.
 	PeerServiceFollowProcedure = "/jackdawyard.peer.v1.PeerService/Follow"
 	// PeerServiceFetchConfigurationProcedure is the fully-qualified name of the PeerService's
@@ -79,6 +81,8 @@
 	Tell(context.Context, *connect.Request[jywire.TellRequest]) (*connect.Response[jywire.TellResponse], error)
 	// Block tells that a request ended backend servers that ran it.
 	Block(context.Context, *connect.Request[jywire.BlockRequest]) (*connect.Response[jywire.BlockResponse], error)
+	// Unblock tells that a backend server answered a request that was suspected of ending others.
+	Unblock(context.Context, *connect.Request[jywire.UnblockRequest]) (*connect.Response[jywire.UnblockResponse], error)
 	// Follow tells what changed in the store that the instances follow.
 	Follow(context.Context, *connect.Request[jywire.FollowRequest]) (*connect.Response[jywire.FollowResponse], error)
 	// FetchConfiguration returns the configuration that an instance took from the store.
@@ -150,6 +154,12 @@
 			connect.WithSchema(peerServiceMethods.ByName("Block")),
 			connect.WithClientOptions(opts...),
 		),
+		unblock: connect.NewClient[jywire.UnblockRequest, jywire.UnblockResponse](
+			httpClient,
+			baseURL+PeerServiceUnblockProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("Unblock")),
+			connect.WithClientOptions(opts...),
+		),
 		follow: connect.NewClient[jywire.FollowRequest, jywire.FollowResponse](
 			httpClient,
 			baseURL+PeerServiceFollowProcedure,
@@ -176,6 +186,7 @@
 	handOver           *connect.Client[jywire.HandOverRequest, jywire.HandOverResponse]
 	tell               *connect.Client[jywire.TellRequest, jywire.TellResponse]
 	block              *connect.Client[jywire.BlockRequest, jywire.BlockResponse]
+	unblock            *connect.Client[jywire.UnblockRequest, jywire.UnblockResponse]
 	follow             *connect.Client[jywire.FollowRequest, jywire.FollowResponse]
 	fetchConfiguration *connect.Client[jywire.FetchConfigurationRequest, jywire.FetchConfigurationResponse]
 }
@@ -225,6 +236,11 @@
 	return c.block.CallUnary(ctx, req)
 }
 
+// Unblock calls jackdawyard.peer.v1.PeerService.Unblock.
+func (c *peerServiceClient) Unblock(ctx context.Context, req *connect.Request[jywire.UnblockRequest]) (*connect.Response[jywire.UnblockResponse], error) {
+	return c.unblock.CallUnary(ctx, req)
+}
+
 // Follow calls jackdawyard.peer.v1.PeerService.Follow.
 func (c *peerServiceClient) Follow(ctx context.Context, req *connect.Request[jywire.FollowRequest]) (*connect.Response[jywire.FollowResponse], error) {
 	return c.follow.CallUnary(ctx, req)
@@ -255,6 +271,8 @@
 	Tell(context.Context, *connect.Request[jywire.TellRequest]) (*connect.Response[jywire.TellResponse], error)
 	// Block tells that a request ended backend servers that ran it.
 	Block(context.Context, *connect.Request[jywire.BlockRequest]) (*connect.Response[jywire.BlockResponse], error)
+	// Unblock tells that a backend server answered a request that was suspected of ending others.
+	Unblock(context.Context, *connect.Request[jywire.UnblockRequest]) (*connect.Response[jywire.UnblockResponse], error)
 	// Follow tells what changed in the store that the instances follow.
 	Follow(context.Context, *connect.Request[jywire.FollowRequest]) (*connect.Response[jywire.FollowResponse], error)
 	// FetchConfiguration returns the configuration that an instance took from the store.
@@ -322,6 +340,12 @@
 		connect.WithSchema(peerServiceMethods.ByName("Block")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceUnblockHandler := connect.NewUnaryHandler(
+		PeerServiceUnblockProcedure,
+		svc.Unblock,
+		connect.WithSchema(peerServiceMethods.ByName("Unblock")),
+		connect.WithHandlerOptions(opts...),
+	)
 	peerServiceFollowHandler := connect.NewUnaryHandler(
 		PeerServiceFollowProcedure,
 		svc.Follow,
@@ -354,6 +378,8 @@
 			peerServiceTellHandler.ServeHTTP(w, r)
 		case PeerServiceBlockProcedure:
 			peerServiceBlockHandler.ServeHTTP(w, r)
+		case PeerServiceUnblockProcedure:
+			peerServiceUnblockHandler.ServeHTTP(w, r)
 		case PeerServiceFollowProcedure:
 			peerServiceFollowHandler.ServeHTTP(w, r)
 		case PeerServiceFetchConfigurationProcedure:
@@ -403,6 +429,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("jackdawyard.peer.v1.PeerService.Block is not implemented"))
 }
 
+func (UnimplementedPeerServiceHandler) Unblock(context.Context, *connect.Request[jywire.UnblockRequest]) (*connect.Response[jywire.UnblockResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("jackdawyard.peer.v1.PeerService.Unblock is not implemented"))
+}
+
 func (UnimplementedPeerServiceHandler) Follow(context.Context, *connect.Request[jywire.FollowRequest]) (*connect.Response[jywire.FollowResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("jackdawyard.peer.v1.PeerService.Follow is not implemented"))
 }
--- a/pkg/jyblock/list.go
+++ b/pkg/jyblock/list.go
@@ -13,7 +13,7 @@
 
 // Limits of a List.
 const (
-	// blockThreshold is the number of crashed backend servers from which on an idempotent request is blocked.
+	// blockThreshold is the number of separate crashes from which on an idempotent request is blocked.
 	blockThreshold = 2
 	// MaxSuspects bounds the suspected and blocked fingerprints; the oldest is evicted.
 	MaxSuspects = 4096
@@ -23,9 +23,9 @@
 
 // Config sets up a List. Each crash or Merge of a request starts its time on the list again.
 type Config struct {
-	// MultiCrashTTL is how long a request that crashed several backend servers stays blocked.
+	// MultiCrashTTL is how long a request with several separate crashes stays blocked.
 	MultiCrashTTL time.Duration
-	// SingleCrashTTL is how long a request that crashed a single backend server stays suspected or blocked.
+	// SingleCrashTTL is how long a request without separate crashes stays suspected or blocked.
 	SingleCrashTTL time.Duration
 	// AnsweredTTL is how long, at least, an answer clears a request: one that was answered recently does not crash servers.
 	AnsweredTTL time.Duration
@@ -43,7 +43,7 @@
 }
 
 type suspect struct {
-	servers   []ServerName
+	crashes   []Crash // at most one of each server
 	blocked   bool
 	expiresAt time.Time
 }
@@ -64,50 +64,53 @@
 
 // RecordCrash records that a backend server crashed while it ran the request. A non-idempotent request is blocked at once.
 // RecordCrash reports whether the request is suspected now; one that was answered recently is not.
-func (l *List) RecordCrash(now time.Time, f Fingerprint, server ServerName, idempotent bool) (suspected bool) {
+func (l *List) RecordCrash(now time.Time, f Fingerprint, c Crash, idempotent bool) (suspected bool) {
+	return l.add(now, f, []Crash{c}, !idempotent)
+}
+
+// Merge adds what a peer has recorded about a request: the crashes, and whether it is blocked. It reports whether the request is
+// suspected now; one that was answered recently is not.
+func (l *List) Merge(now time.Time, f Fingerprint, crashes []Crash, blocked bool) (suspected bool) {
+	return l.add(now, f, crashes, blocked)
+}
+
+func (l *List) add(now time.Time, f Fingerprint, crashes []Crash, blocked bool) (suspected bool) {
 	l.rotateAnswered(now)
 	if l.answered[f] || l.prevAnswered[f] {
 		return false
 	}
 	s := l.suspect(now, f)
-	if !slices.Contains(s.servers, server) {
-		s.servers = append(s.servers, server)
+	for _, c := range crashes {
+		isKnown := slices.ContainsFunc(s.crashes, func(v Crash) bool { return v.Server == c.Server })
+		if !isKnown {
+			s.crashes = append(s.crashes, c)
+		}
 	}
-	s.blocked = s.blocked || !idempotent || len(s.servers) >= blockThreshold
+	s.blocked = s.blocked || blocked || separateCrashes(s.crashes) >= blockThreshold
 	s.expiresAt = now.Add(l.ttl(s))
 	return true
 }
 
-// ttl returns how long a request with that many crashed servers stays on the list.
+// ttl returns how long a request with these crashes stays on the list.
 func (l *List) ttl(s *suspect) time.Duration {
-	if len(s.servers) >= blockThreshold {
+	if separateCrashes(s.crashes) >= blockThreshold {
 		return l.config.MultiCrashTTL
 	}
 	return l.config.SingleCrashTTL
 }
 
-// Merge adds what a peer has recorded about a request: the backend servers that it crashed, and whether it is blocked.
-func (l *List) Merge(now time.Time, f Fingerprint, servers []ServerName, blocked bool) {
-	s := l.suspect(now, f)
-	for _, v := range servers {
-		if !slices.Contains(s.servers, v) {
-			s.servers = append(s.servers, v)
-		}
-	}
-	s.blocked = s.blocked || blocked || len(s.servers) >= blockThreshold
-	s.expiresAt = now.Add(l.ttl(s))
-}
-
-// RecordAnswer clears a request that a backend server answered, unless it is blocked: earlier crashes are attributed to other
-// requests that ran at the same time.
-func (l *List) RecordAnswer(now time.Time, f Fingerprint) {
+// RecordAnswer clears a request that a backend server answered, also a blocked one: earlier crashes are attributed to other causes. It
+// reports whether the request was suspected or blocked.
+func (l *List) RecordAnswer(now time.Time, f Fingerprint) (cleared bool) {
 	l.rotateAnswered(now)
 	if len(l.answered) < maxAnswered {
 		l.answered[f] = true
 	}
-	if s := l.suspects[f]; s != nil && !s.blocked {
+	_, cleared = l.suspects[f]
+	if cleared {
 		l.remove(f)
 	}
+	return cleared
 }
 
 // rotateAnswered starts a new period of answered requests once the current one has lasted for AnsweredTTL.
@@ -124,10 +127,10 @@
 	l.rotatedAt = now
 }
 
-// CrashedServers returns the backend servers that a suspected or blocked request crashed.
-func (l *List) CrashedServers(f Fingerprint) []ServerName {
+// Crashes returns the crashes of a suspected or blocked request.
+func (l *List) Crashes(f Fingerprint) []Crash {
 	if s := l.suspects[f]; s != nil {
-		return slices.Clone(s.servers)
+		return slices.Clone(s.crashes)
 	}
 	return nil
 }
