Close connections after answers whose copies could answer another request

Report of other operators: a faulty server wrote an earlier refusal once more on a kept connection, and callers were told 'not run' for requests that ran (REFUSED), or these ran twice (TWICE).

Cause: a refusal that names no request was taken for that of the request in progress. One that names its request is skipped (tested: held before).

Change: a connection is not used again after an answer that names no request where servers name them, nor after a refusal where they do not.

--- a/internal/jybackend/connection.go
+++ b/internal/jybackend/connection.go
@@ -186,6 +186,9 @@
 	return err == nil && open
 }
 
+// CloseAfterAnswer makes the pool close the connection when it is given back, in place of reusing it.
+func (c *Connection) CloseAfterAnswer() { c.ended = true }
+
 // Close closes the connection, which its pool still counts as open; Pool.Drop closes a connection and counts it as closed.
 func (c *Connection) Close() {
 	c.ended = true
--- a/internal/jyproxy/attempt.go
+++ b/internal/jyproxy/attempt.go
@@ -142,6 +142,10 @@
 // finish does.
 func (a *attempt) read(ctx context.Context, x exchange) (*answer, *jyretry.Failure) {
 	resp := x.response
+	isRefusal := matchesAny(a.request.match.Service.NotRunMarks, resp)
+	if a.request.dialect.mayBeRepeated(resp, isRefusal) {
+		x.connection.CloseAfterAnswer()
+	}
 	a.recordDrainAndRetryAfter(resp)
 	a.recordLimit(resp)
 	if !a.request.dialect.acceptsHead(resp) {
@@ -162,7 +166,7 @@
 	a.server().Pool.Put(x.connection, time.Now())
 	a.recordTransfer(int64(len(body)))
 	service := a.request.match.Service
-	if matchesAny(service.NotRunMarks, resp) {
+	if isRefusal {
 		a.request.service.RecordShed(time.Now(), a.placement)
 		a.end(jybackend.Neutral)
 		return nil, &jyretry.Failure{CertainlyNotRun: true, Reason: jyoutcome.DeclaredNotRun}
--- a/internal/jyproxy/dialect.go
+++ b/internal/jyproxy/dialect.go
@@ -57,6 +57,15 @@
 	return resp.StatusCode >= http.StatusOK && resp.StatusCode < http.StatusMultipleChoices
 }
 
+// mayBeRepeated reports whether a copy of the answer could later be taken for that to another request on the same connection: it does not
+// name its request, and either servers name it otherwise, or it is a refusal, by which the other request would seem not to have run.
+func (d Dialect) mayBeRepeated(resp *http.Response, isRefusal bool) bool {
+	if d.RequestIDHeader == "" {
+		return isRefusal
+	}
+	return resp.Header.Get(d.RequestIDHeader) == ""
+}
+
 // answersRequest reports whether resp answers the request that has these headers. An answer without RequestIDHeader is assumed to.
 func (d Dialect) answersRequest(resp *http.Response, request http.Header) bool {
 	if d.RequestIDHeader == "" {
