Close connections without a whole request in one step when an instance stops

Cause: reading the change: between the check and the close, the head of a late request could become whole and be passed on. Change: check and close are one step; a test that a stop waits for neither callers that sent nothing nor for half a head. Conclusion: no change for whole requests.

--- a/internal/jynode/caller_connection.go
+++ b/internal/jynode/caller_connection.go
@@ -52,6 +52,22 @@
 	return c.closeNow()
 }
 
+// end closes the connection if nothing is unanswered, or if isHeadOverdue is set and the head of its request is incomplete. It reports
+// whether an answer is still due.
+func (c *callerConnection) end(isHeadOverdue bool) (isUnanswered bool) {
+	c.mu.Lock()
+	closesNow := c.state.End() || (isHeadOverdue && !c.state.IsPassedOn())
+	if closesNow {
+		c.state.Close()
+	}
+	c.mu.Unlock()
+	if closesNow {
+		// Its caller has sent no whole request that an answer could be due to.
+		_ = c.closeNow()
+	}
+	return !closesNow && c.isUnanswered()
+}
+
 // CloseWrite ends the answers of the connection.
 func (c *callerConnection) CloseWrite() error {
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
@@ -82,6 +98,7 @@
 	closesNow := c.state.Answer()
 	c.mu.Unlock()
 	if closesNow {
+		// The answer is sent; an error means that the caller has closed the connection already.
 		_ = c.closeNow()
 	}
 }
@@ -92,12 +109,6 @@
 	return c.state.IsUnanswered()
 }
 
-func (c *callerConnection) isPassedOn() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.state.IsPassedOn()
-}
-
 func (c *callerConnection) isHTTP2() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -114,6 +125,7 @@
 	case http.StateIdle:
 		c.answered()
 	case http.StateClosed:
+		// The server has given the connection up, maybe before the request was whole.
 		_ = c.closeNow()
 	}
 }
--- a/internal/jynode/caller_connections.go
+++ b/internal/jynode/caller_connections.go
@@ -78,11 +78,7 @@
 			if conn.isHTTP2() {
 				continue
 			}
-			_ = conn.Close()
-			if isHeadOverdue && !conn.isPassedOn() {
-				conn.closeNow()
-			}
-			if conn.isUnanswered() {
+			if conn.end(isHeadOverdue) {
 				unanswered++
 			}
 		}
@@ -96,6 +92,7 @@
 // closeAll closes all connections, also those with unanswered requests.
 func (c *callerConnections) closeAll() {
 	for _, conn := range c.list() {
-		conn.closeNow()
+		// Its caller is gone, or learns by this that no answer comes.
+		_ = conn.closeNow()
 	}
 }
--- a/internal/jynode/caller_server_test.go
+++ b/internal/jynode/caller_server_test.go
@@ -184,3 +184,30 @@
 	require.NoError(t, <-ended)
 	return handler.runs.Load(), answered.Load()
 }
+
+// Guards against a stop that waits for callers which have sent nothing, or only a part of a request.
+func TestStopDoesNotWaitForRequestsThatAreNotWhole(t *testing.T) {
+	for name, sent := range map[string]string{"nothing": "", "part of a head": "POST /order HTTP/1.1\r\nHost: a\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			server := newCallerServerAt(listener, &runCounter{})
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			go func() { _ = server.Run(ctx) }()
+			caller, err := net.Dial("tcp", listener.Addr().String())
+			require.NoError(t, err)
+			defer func() { _ = caller.Close() }()
+			_, err = caller.Write([]byte(sent))
+			require.NoError(t, err)
+			require.Eventually(t, func() bool { return len(server.connections.list()) == 1 }, 10*time.Second, time.Millisecond)
+			server.drain()
+			const longestDeadline = 30 * time.Second
+			stopped, stop := context.WithTimeout(ctx, longestDeadline)
+			defer stop()
+			server.shutDown(stopped)
+			assert.NoError(t, stopped.Err(), "the stop took as long as a request may")
+			assert.Empty(t, server.connections.list())
+		})
+	}
+}
