--- a/scenario/detour_stop_test.go
+++ b/scenario/detour_stop_test.go
@@ -18,7 +18,9 @@
 	f := startLinkedFleet(t, 6)
 	sender, receiver := f.instances[0], f.instances[1]
 	f.setLinks(cutRefused)
-	sender.eventually(func() bool { return servedShare(sendSteadily(f.instances[:1], fmt.Sprint("lost-", time.Now().UnixNano()), 20, time.Second)) == 1 })
+	sender.eventually(func() bool {
+		return servedShare(sendSteadily(f.instances[:1], fmt.Sprint("lost-", time.Now().UnixNano()), 20, time.Second)) == 1
+	})
 	for _, s := range f.servers {
 		s.SetDelay(40 * time.Millisecond)
 	}
