--- a/internal/jynode/caller_server.go
+++ b/internal/jynode/caller_server.go
@@ -75,7 +75,7 @@
 	closed := make(chan struct{})
 	go func() {
 		defer close(closed)
-		// An error means that the time is up; shutDown in node counts the remaining requests.
+		// An error means that the time is up; Node.shutDown counts the remaining requests.
 		_ = c.http.Shutdown(ctx)
 	}()
 	c.connections.end(ctx)
--- a/internal/jyrelay/block.go
+++ b/internal/jyrelay/block.go
@@ -16,7 +16,7 @@
 	"github.com/jackdawyard/jackdawyard/pkg/jymember"
 )
 
-// How long the list keeps requests: after crashes of several backend servers, after one crash, and after an answer.
+// How long the list keeps requests: after several separate crashes, after fewer, and after an answer.
 const (
 	multiCrashTTL  = 5 * time.Minute
 	singleCrashTTL = time.Minute
